Serve a request from end to end

Cause: there was no product yet. Change: a thin whole path as separate processes: entry, controller, operators' command line, and stand-ins for the platform and for upstreams.

--- /dev/null
+++ b/src/lentilgauge/__init__.py
@@ -0,0 +1,1 @@
+"""Route callers to the servers that own their keys."""
--- /dev/null
+++ b/src/lentilgauge/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Take a caller's request from admission to its answer."""
--- /dev/null
+++ b/src/lentilgauge/callers/routing.py
@@ -0,0 +1,87 @@
+"""Choose the upstream for a request."""
+
+import dataclasses
+
+from lentilgauge.callers import request as request_module
+from lentilgauge.contracts import holder, lease
+from lentilgauge.services import catalog, slots
+from lentilgauge.vms import entry as entry_module
+
+_POOL_CHOICES = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Hold the chosen upstream and the slot and epoch it was chosen by."""
+
+    upstream: catalog.Upstream
+    wanted: lease.SlotGrant
+
+
+_NO_SLOT = lease.SlotGrant(holder.NO_SLOT, 0)
+
+
+def find_route(
+    entry: entry_module.Entry,
+    request: request_module.CallerRequest,
+) -> Route | None:
+    """Find the owner of the key, or an upstream of the pool."""
+    service = entry.replica.config.service_by_name.get(request.kind.service)
+    if service is None:
+        return None
+    if service.keyed:
+        return _find_owner(entry, service, request.key)
+    return _choose_from_pool(entry, service)
+
+
+def _find_owner(
+    entry: entry_module.Entry,
+    service: catalog.Service,
+    key: bytes,
+) -> Route | None:
+    slot_map = entry.replica.slot_map_by_service.get(service.name)
+    if slot_map is None:
+        return None
+    slot = slots.find_slot(key, service.slot_count)
+    owner = slot_map.owner_by_slot[slot]
+    upstream = entry.replica.config.upstream_by_id.get(owner)
+    if upstream is None:
+        return None
+    return Route(
+        upstream=upstream,
+        wanted=lease.SlotGrant(slot, slot_map.epoch_by_slot[slot]),
+    )
+
+
+def _choose_from_pool(
+    entry: entry_module.Entry,
+    service: catalog.Service,
+) -> Route | None:
+    """Choose the less loaded of two drawn at random."""
+    now_ms = entry.now_ms()
+    pool = entry.pool_by_service.get(service.name, ())
+    usable = [
+        upstream
+        for upstream in pool
+        if entry.gate_by_upstream[upstream.id].suspended_deadline_ms <= now_ms
+    ]
+    candidates = usable or pool
+    if not candidates:
+        return None
+    drawn = entry.random.sample(
+        candidates,
+        min(_POOL_CHOICES, len(candidates)),
+    )
+    chosen = min(
+        drawn,
+        key=lambda upstream: _estimate_cost(entry, upstream),
+    )
+    return Route(upstream=chosen, wanted=_NO_SLOT)
+
+
+def _estimate_cost(
+    entry: entry_module.Entry,
+    upstream: catalog.Upstream,
+) -> float:
+    gate = entry.gate_by_upstream[upstream.id]
+    return (gate.in_flight + len(gate.waiters) + 1) * gate.latency_ms
--- /dev/null
+++ b/src/lentilgauge/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the leases between controllers and upstreams."""
--- /dev/null
+++ b/src/lentilgauge/failure_domains/__init__.py
@@ -0,0 +1,1 @@
+"""Know which failure domains may take work."""
--- /dev/null
+++ b/src/lentilgauge/links/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to the platform, upstreams and peers over HTTP."""
--- /dev/null
+++ b/src/lentilgauge/links/relay.py
@@ -0,0 +1,66 @@
+"""Relay the platform's objects from a controller to the entries of its VM."""
+
+import dataclasses
+
+import pydantic
+from returns import result
+from tornado import httpclient
+
+from lentilgauge.links import http_client, platform_messages
+
+CHANGES_PATH = '/changes'
+
+
+class RelayMessage(pydantic.BaseModel):
+    """Carry what changed after a revision and how well that is confirmed.
+
+    `confirmed_age_ms` is how long ago the platform confirmed that there was
+    nothing newer; `fresh_age_ms` is the same, but most VMs' word counts too.
+    Both are `None` where that never happened.
+    """
+
+    revision: int
+    confirmed_age_ms: int | None
+    fresh_age_ms: int | None
+    changed: list[platform_messages.StoredObject]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wanted:
+    """Say which changes are wanted, and how long to wait for them."""
+
+    after: int
+    wait_ms: int
+    timeout_ms: int
+
+
+RelayResult = result.Result[RelayMessage, http_client.LinkFailure]
+
+
+async def fetch_changes(
+    client: httpclient.AsyncHTTPClient,
+    base_url: str,
+    wanted: Wanted,
+) -> RelayResult:
+    """Fetch the changes after a revision."""
+    sent = await http_client.send_call(
+        client,
+        http_client.Call(
+            method='GET',
+            url=(
+                f'{base_url}{CHANGES_PATH}'
+                f'?after={wanted.after}&wait_ms={wanted.wait_ms}'
+            ),
+            timeout_ms=wanted.timeout_ms + wanted.wait_ms,
+        ),
+    )
+    return sent.bind(_parse_relay)
+
+
+def _parse_relay(reply: http_client.Reply) -> RelayResult:
+    try:
+        return result.Success(
+            RelayMessage.model_validate_json(reply.body),
+        )
+    except pydantic.ValidationError:
+        return result.Failure(http_client.LinkFailure.INVALID)
--- /dev/null
+++ b/src/lentilgauge/load/__init__.py
@@ -0,0 +1,1 @@
+"""Drive load and experiments against the system."""
--- /dev/null
+++ b/src/lentilgauge/load/cluster.py
@@ -0,0 +1,181 @@
+"""Run a small system of real processes on loopback for experiments."""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import sys
+from collections.abc import Mapping
+
+from lentilgauge.load import processes, topology
+
+LOOPBACK = '127.0.0.1'
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Cluster:
+    """Hold a running system: its processes, ports and settings files."""
+
+    shape: topology.Topology
+    folder: pathlib.Path
+    port_by_name: dict[str, int]
+    process_by_name: dict[str, processes.Process] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def get_url(self, name: str) -> str:
+        """Return the base URL of a process."""
+        return f'http://{LOOPBACK}:{self.port_by_name[name]}'
+
+
+def _find_free_ports(count: int) -> list[int]:
+    """Reserve ports one by one; each stays bound until all are found."""
+    bound = []
+    for _ in range(count):
+        probe = socket.socket()
+        probe.bind((LOOPBACK, 0))
+        bound.append(probe)
+    ports = [probe.getsockname()[1] for probe in bound]
+    for probe in bound:
+        probe.close()
+    return ports
+
+
+def _list_names(shape: topology.Topology) -> list[str]:
+    return [
+        topology.PLATFORM,
+        *(upstream.id for upstream in shape.upstreams),
+        *(name for vm in shape.vms for name in topology.list_vm_names(vm)),
+    ]
+
+
+def make_cluster(
+    shape: topology.Topology,
+    folder: pathlib.Path,
+) -> Cluster:
+    """Choose ports for a system and write its settings."""
+    names = _list_names(shape)
+    ports = _find_free_ports(len(names))
+    cluster = Cluster(
+        shape=shape,
+        folder=folder,
+        port_by_name=dict(zip(names, ports, strict=True)),
+    )
+    for vm in shape.vms:
+        write_vm_settings(cluster, vm)
+    text = topology.render_configuration(shape, cluster.port_by_name)
+    (folder / 'configuration.ini').write_text(text, encoding='utf-8')
+    return cluster
+
+
+def write_vm_settings(
+    cluster: Cluster,
+    vm: topology.Vm,
+    port_by_name: Mapping[str, int] | None = None,
+) -> None:
+    """Write the settings of a VM; a test may route some ports elsewhere."""
+    ports = {**cluster.port_by_name, **(port_by_name or {})}
+    for kind, render in (
+        ('controller', topology.render_controller),
+        ('entry', topology.render_entry),
+    ):
+        path = cluster.folder / f'{kind}-{vm.id}.ini'
+        path.write_text(render(cluster.shape, vm, ports), encoding='utf-8')
+
+
+def _find_program(name: str) -> str:
+    return str(pathlib.Path(sys.executable).parent / name)
+
+
+async def start(cluster: Cluster, name: str, *arguments: str) -> None:
+    """Start one process and wait until it listens."""
+    program, *rest = arguments
+    cluster.process_by_name[name] = await processes.start_process(
+        name,
+        (_find_program(program), *rest),
+        cluster.folder / f'{name}.log',
+    )
+
+
+async def start_platform(cluster: Cluster) -> None:
+    """Start the platform stand-in."""
+    await start(
+        cluster,
+        topology.PLATFORM,
+        'lentilgauge-standin',
+        'platform',
+        f'--port={cluster.port_by_name[topology.PLATFORM]}',
+    )
+
+
+async def start_upstream(cluster: Cluster, upstream: topology.Upstream) -> None:
+    """Start one upstream stand-in."""
+    await start(
+        cluster,
+        upstream.id,
+        'lentilgauge-standin',
+        'upstream',
+        f'--id={upstream.id}',
+        f'--port={cluster.port_by_name[upstream.id]}',
+        *topology.list_upstream_flags(upstream),
+    )
+
+
+async def start_controller(cluster: Cluster, vm: topology.Vm) -> None:
+    """Start the controller of a VM."""
+    await start(
+        cluster,
+        topology.name_controller(vm),
+        'lentilgauge-controller',
+        str(cluster.folder / f'controller-{vm.id}.ini'),
+    )
+
+
+async def start_entry(cluster: Cluster, vm: topology.Vm) -> None:
+    """Start the entry of a VM."""
+    await start(
+        cluster,
+        topology.name_entry(vm),
+        'lentilgauge-entry',
+        str(cluster.folder / f'entry-{vm.id}.ini'),
+    )
+
+
+async def start_all(cluster: Cluster) -> None:
+    """Start every process of a system."""
+    await start_platform(cluster)
+    await asyncio.gather(
+        *(
+            start_upstream(cluster, upstream)
+            for upstream in cluster.shape.upstreams
+        ),
+        *(start_controller(cluster, vm) for vm in cluster.shape.vms),
+        *(start_entry(cluster, vm) for vm in cluster.shape.vms),
+    )
+
+
+def send_signal(cluster: Cluster, name: str, number: signal.Signals) -> None:
+    """Send a signal to one process of the system."""
+    os.kill(cluster.process_by_name[name].pid, number)
+
+
+async def kill(cluster: Cluster, name: str) -> None:
+    """Kill one process and wait until it is gone."""
+    await processes.stop_process(cluster.process_by_name[name], signal.SIGKILL)
+
+
+async def terminate(cluster: Cluster, name: str) -> None:
+    """Ask one process to stop and wait until it has."""
+    await processes.stop_process(cluster.process_by_name[name], signal.SIGTERM)
+
+
+async def stop_all(cluster: Cluster) -> None:
+    """Kill every process that still runs."""
+    await asyncio.gather(
+        *(
+            processes.stop_process(process, signal.SIGKILL)
+            for process in cluster.process_by_name.values()
+        ),
+    )
--- /dev/null
+++ b/src/lentilgauge/load/topology.py
@@ -0,0 +1,215 @@
+"""Describe the system that an experiment runs on, and its settings."""
+
+import configparser
+import dataclasses
+import io
+from collections.abc import Mapping
+
+PLATFORM = 'platform'
+_LOOPBACK = '127.0.0.1'
+
+#: Sections of an INI file with their options.
+Sections = Mapping[str, Mapping[str, object]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Vm:
+    """Describe one entry VM."""
+
+    id: str
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """Describe one service; one without slots is pooled."""
+
+    name: str
+    slots: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """Describe one kind of request."""
+
+    name: str
+    service: str
+    method: str
+    path: str
+    idempotent: bool
+    priority: int = 1
+    weight: float = 1
+    timeout_ms: int = 3000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Upstream:
+    """Describe one upstream stand-in."""
+
+    id: str
+    service: str
+    failure_domain: str
+    service_ms: float = 2
+    concurrency: int = 2
+    connections: int = 120
+    queue_limit: int = 8
+    checks_tokens: bool = True
+    cold_factor: float = 1
+    warm_after: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Topology:
+    """Describe a whole system.
+
+    `options` overrides options of the VMs' settings, by section.
+    """
+
+    vms: tuple[Vm, ...]
+    services: tuple[Service, ...]
+    kinds: tuple[Kind, ...]
+    upstreams: tuple[Upstream, ...]
+    options: Sections = dataclasses.field(default_factory=dict)
+
+
+def name_controller(vm: Vm) -> str:
+    """Name the controller process of a VM."""
+    return f'controller-{vm.id}'
+
+
+def name_entry(vm: Vm) -> str:
+    """Name the entry process of a VM."""
+    return f'entry-{vm.id}'
+
+
+def name_admin(vm: Vm) -> str:
+    """Name the admin port of a VM's entry."""
+    return f'admin-{vm.id}'
+
+
+def list_vm_names(vm: Vm) -> tuple[str, ...]:
+    """List the names of all ports of a VM."""
+    return (name_controller(vm), name_entry(vm), name_admin(vm))
+
+
+def list_upstream_flags(upstream: Upstream) -> list[str]:
+    """List the flags that shape an upstream stand-in."""
+    return [
+        f'--concurrency={upstream.concurrency}',
+        f'--queue_limit={upstream.queue_limit}',
+        f'--service_ms={upstream.service_ms}',
+        f'--checks_tokens={upstream.checks_tokens}',
+        f'--cold_factor={upstream.cold_factor}',
+        f'--warm_after={upstream.warm_after}',
+    ]
+
+
+def _render(sections: Sections) -> str:
+    parser = configparser.ConfigParser(interpolation=None)
+    for name, options in sections.items():
+        parser[name] = {
+            option: str(setting) for option, setting in options.items()
+        }
+    text = io.StringIO()
+    parser.write(text)
+    return text.getvalue()
+
+
+def _make_vm_section(vm: Vm) -> Mapping[str, object]:
+    return {
+        'id': vm.id,
+        'failure_domain': vm.failure_domain,
+        'address': _LOOPBACK,
+    }
+
+
+def render_controller(
+    shape: Topology,
+    vm: Vm,
+    port_by_name: Mapping[str, int],
+) -> str:
+    """Render a controller's settings."""
+    return _render(
+        {
+            'vm': _make_vm_section(vm),
+            'platform': {
+                'address': _LOOPBACK,
+                'port': port_by_name[PLATFORM],
+                **shape.options.get('platform', {}),
+            },
+            'controller': {
+                'port': port_by_name[name_controller(vm)],
+                **shape.options.get('controller', {}),
+            },
+        }
+    )
+
+
+def render_entry(
+    shape: Topology,
+    vm: Vm,
+    port_by_name: Mapping[str, int],
+) -> str:
+    """Render an entry's settings."""
+    return _render(
+        {
+            'vm': _make_vm_section(vm),
+            'controller': {
+                'address': _LOOPBACK,
+                'port': port_by_name[name_controller(vm)],
+            },
+            'entry': {
+                'port': port_by_name[name_entry(vm)],
+                'admin_port': port_by_name[name_admin(vm)],
+                **shape.options.get('entry', {}),
+            },
+        }
+    )
+
+
+def _make_kind_section(kind: Kind) -> Mapping[str, object]:
+    fields = dataclasses.asdict(kind)
+    fields.pop('name')
+    return fields
+
+
+def _make_upstream_section(
+    upstream: Upstream, port: int
+) -> Mapping[str, object]:
+    return {
+        'service': upstream.service,
+        'failure_domain': upstream.failure_domain,
+        'address': _LOOPBACK,
+        'port': port,
+        'concurrency': upstream.concurrency,
+        'connections': upstream.connections,
+        'checks_tokens': upstream.checks_tokens,
+    }
+
+
+def render_configuration(
+    shape: Topology,
+    port_by_name: Mapping[str, int],
+) -> str:
+    """Render the configuration of services, kinds and upstreams."""
+    domains = {upstream.failure_domain for upstream in shape.upstreams}
+    return _render(
+        {
+            **{
+                f'service {service.name}': {'slots': service.slots}
+                for service in shape.services
+            },
+            **{f'failure_domain {name}': {} for name in sorted(domains)},
+            **{
+                f'kind {kind.name}': _make_kind_section(kind)
+                for kind in shape.kinds
+            },
+            **{
+                f'upstream {upstream.id}': _make_upstream_section(
+                    upstream,
+                    port_by_name[upstream.id],
+                )
+                for upstream in shape.upstreams
+            },
+        }
+    )
--- /dev/null
+++ b/src/lentilgauge/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the people who run the system."""
--- /dev/null
+++ b/src/lentilgauge/operators/command_line.py
@@ -0,0 +1,201 @@
+"""Run `lentilgauge`: ask what is true, state what should become true."""
+
+import asyncio
+import pathlib
+import sys
+from collections.abc import Callable, Coroutine
+from urllib import parse as url_parse
+
+import pydantic
+from returns import result
+
+from lentilgauge import errors, programs
+from lentilgauge.links import http_client, operator_link
+from lentilgauge.operators import changes, status, tables
+from lentilgauge.services import configuration
+
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+_TIMEOUT_MS = 15_000
+_DEFAULT_CONTROLLER = 'http://127.0.0.1:7100'
+
+Answered = operator_link.AnswerResult[pydantic.BaseModel]
+
+
+def _make_link(controller: str) -> operator_link.OperatorLink:
+    return operator_link.OperatorLink(
+        client=http_client.make_client(),
+        base_url=controller.rstrip('/'),
+        timeout_ms=_TIMEOUT_MS,
+    )
+
+
+async def _ask(
+    controller: str,
+    question: operator_link.Question,
+    model: type[operator_link.Message],
+) -> operator_link.AnswerResult[operator_link.Message]:
+    return await operator_link.ask(_make_link(controller), question, model)
+
+
+def _finish(
+    asked: Coroutine[
+        object,
+        object,
+        operator_link.AnswerResult[operator_link.Message],
+    ],
+    render: Callable[[operator_link.Message], str],
+) -> None:
+    """Wait for the answer, print it and exit by what it says."""
+    answered = asyncio.run(asked)
+    if isinstance(answered, result.Success):
+        sys.stdout.write(f'{render(answered.unwrap())}\n')
+        return
+    _exit_refused(answered.failure())
+
+
+def _exit_refused(failure: errors.Failure) -> None:
+    sys.stderr.write(f'{failure.kind}: {failure.detail}\n')
+    bad_input = failure.kind in {
+        errors.ErrorKind.BAD_SETTINGS,
+        errors.ErrorKind.BAD_COMMAND,
+    }
+    sys.exit(EXIT_BAD_INPUT if bad_input else EXIT_REFUSED)
+
+
+def _render_accepted(message: changes.AcceptedMessage) -> str:
+    return f'accepted as version {message.version}'
+
+
+def _render_json(message: pydantic.BaseModel) -> str:
+    return message.model_dump_json(indent=2)
+
+
+def show_status(
+    controller: str = _DEFAULT_CONTROLLER,
+    *,
+    json: bool = False,
+) -> None:
+    """Show services, upstreams, VMs and leases as one controller sees them."""
+    _finish(
+        _ask(
+            controller,
+            operator_link.Question(method='GET', path='/status'),
+            status.StatusMessage,
+        ),
+        _render_json if json else tables.render_status,
+    )
+
+
+def show_owner(
+    service: str,
+    key: str,
+    controller: str = _DEFAULT_CONTROLLER,
+) -> None:
+    """Show which upstream owns a key."""
+    asked = url_parse.urlencode({'service': service, 'key': key})
+    _finish(
+        _ask(
+            controller,
+            operator_link.Question(method='GET', path=f'/owner?{asked}'),
+            status.OwnerStatus,
+        ),
+        _render_json,
+    )
+
+
+def apply_configuration(
+    path: str,
+    expected_version: int = 0,
+    controller: str = _DEFAULT_CONTROLLER,
+) -> None:
+    """Replace the configuration, if its version is the expected one."""
+    read = configuration.read_configuration(pathlib.Path(path))
+    if not isinstance(read, result.Success):
+        _exit_refused(read.failure())
+        return
+    _finish(
+        _ask(
+            controller,
+            operator_link.Question(
+                method='PUT',
+                path='/configuration',
+                message=changes.ConfigureMessage(
+                    expected_version=expected_version,
+                    configuration=read.unwrap(),
+                ),
+            ),
+            changes.AcceptedMessage,
+        ),
+        _render_accepted,
+    )
+
+
+def set_domain(
+    name: str,
+    state: str,
+    controller: str = _DEFAULT_CONTROLLER,
+) -> None:
+    """Take a failure domain `out` or bring it back `in`."""
+    _finish(
+        _ask(
+            controller,
+            operator_link.Question(
+                method='POST',
+                path='/failure-domain',
+                message=changes.SetDomainMessage(
+                    name=name,
+                    out=_read_state(state, 'out', 'in'),
+                ),
+            ),
+            changes.AcceptedMessage,
+        ),
+        _render_accepted,
+    )
+
+
+def set_upstream(
+    upstream_id: str,
+    state: str,
+    controller: str = _DEFAULT_CONTROLLER,
+) -> None:
+    """Set an upstream to `drain` or to `serve`."""
+    _finish(
+        _ask(
+            controller,
+            operator_link.Question(
+                method='POST',
+                path='/upstream',
+                message=changes.SetUpstreamMessage(
+                    id=upstream_id,
+                    draining=_read_state(state, 'drain', 'serve'),
+                ),
+            ),
+            changes.AcceptedMessage,
+        ),
+        _render_accepted,
+    )
+
+
+def _read_state(state: str, yes: str, other: str) -> bool:
+    if state not in {yes, other}:
+        _exit_refused(
+            errors.Failure(
+                kind=errors.ErrorKind.BAD_COMMAND,
+                detail=f'expected {yes!r} or {other!r}, got {state!r}',
+            ),
+        )
+    return state == yes
+
+
+def main() -> None:
+    """Start from the command line."""
+    programs.run_program(
+        {
+            'status': show_status,
+            'owner': show_owner,
+            'apply': apply_configuration,
+            'domain': set_domain,
+            'upstream': set_upstream,
+        }
+    )
--- /dev/null
+++ b/src/lentilgauge/services/__init__.py
@@ -0,0 +1,1 @@
+"""Describe services, their kinds of request and their slots."""
--- /dev/null
+++ b/src/lentilgauge/services/catalog.py
@@ -0,0 +1,109 @@
+"""Hold the accepted configuration as the rest of the system reads it."""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+
+
+class Priority(enum.IntEnum):
+    """Order kinds under overload: the lowest number is served first."""
+
+    FIRST = 0
+    NORMAL = 1
+    LAST = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """Describe one kind of request of a service.
+
+    `template` is a path whose `{key}` segment carries the key. Where it has
+    none, `key_header` names the header that does; pooled kinds need neither.
+    """
+
+    name: str
+    service: str
+    method: str
+    template: str
+    idempotent: bool
+    key_header: str = ''
+    priority: Priority = Priority.NORMAL
+    weight: float = 1
+    timeout_ms: int = 2000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """Describe one service: keyed by slots, or pooled with none."""
+
+    name: str
+    slot_count: int = 0
+
+    @property
+    def keyed(self) -> bool:
+        """Whether only the owner of a key may serve it."""
+        return self.slot_count > 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Upstream:
+    """Describe one upstream as configured."""
+
+    id: str
+    service: str
+    failure_domain: str
+    address: str
+    port: int
+    concurrency: int = 2
+    connections: int = 120
+    checks_tokens: bool = True
+    weight: float = 1
+    draining: bool = False
+
+    @property
+    def base_url(self) -> str:
+        """The start of every URL on this upstream."""
+        return f'http://{self.address}:{self.port}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FailureDomain:
+    """Describe one failure domain; `out` means taken out by operators."""
+
+    name: str
+    out: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Catalog:
+    """Hold one whole version of the configuration."""
+
+    version: int = 0
+    service_by_name: Mapping[str, Service] = dataclasses.field(
+        default_factory=dict,
+    )
+    kinds: tuple[Kind, ...] = ()
+    upstream_by_id: Mapping[str, Upstream] = dataclasses.field(
+        default_factory=dict,
+    )
+    failure_domain_by_name: Mapping[str, FailureDomain] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+def list_upstreams(catalog: Catalog, service: str) -> list[Upstream]:
+    """List the configured upstreams of a service."""
+    return [
+        upstream
+        for upstream in catalog.upstream_by_id.values()
+        if upstream.service == service
+    ]
+
+
+def accepts_new_work(catalog: Catalog, upstream_id: str) -> bool:
+    """Tell whether operators let an upstream have new work."""
+    upstream = catalog.upstream_by_id.get(upstream_id)
+    if upstream is None or upstream.draining:
+        return False
+    domain = catalog.failure_domain_by_name.get(upstream.failure_domain)
+    return domain is None or not domain.out
--- /dev/null
+++ b/src/lentilgauge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the systems outside the product."""
--- /dev/null
+++ b/src/lentilgauge/standins/command_line.py
@@ -0,0 +1,62 @@
+"""Run `lentilgauge-standin`."""
+
+import asyncio
+
+from lentilgauge import programs
+from lentilgauge.standins import platform_server, upstream, upstream_server
+from lentilgauge.vms import process
+
+_LOOPBACK = '127.0.0.1'
+
+
+async def _wait_until_stopped(name: str) -> None:
+    process.report_ready(name)
+    await process.make_stop_event().wait()
+
+
+async def _run_platform(port: int) -> None:
+    platform_server.start_platform(address=_LOOPBACK, port=port)
+    await _wait_until_stopped('platform')
+
+
+async def _run_upstream(shape: upstream.Shape, port: int, seed: int) -> None:
+    upstream_server.start_upstream(
+        shape,
+        address=_LOOPBACK,
+        port=port,
+        seed=seed,
+    )
+    await _wait_until_stopped('upstream')
+
+
+def run_platform(*, port: int) -> None:
+    """Run the platform's object store and VM list."""
+    asyncio.run(_run_platform(port))
+
+
+def run_upstream(
+    *,
+    id: str,  # ruff: ignore[builtin-argument-shadowing]
+    port: int,
+    concurrency: int = 2,
+    queue_limit: int = 8,
+    service_ms: float = 2,
+    checks_tokens: bool = True,
+    **more: float,
+) -> None:
+    """Run one upstream; more are `cold_factor`, `warm_after` and `seed`."""
+    shape = upstream.Shape(
+        upstream_id=str(id),
+        concurrency=concurrency,
+        queue_limit=queue_limit,
+        service_ms=service_ms,
+        checks_tokens=checks_tokens,
+        cold_factor=more.get('cold_factor', 1),
+        warm_after=int(more.get('warm_after', 0)),
+    )
+    asyncio.run(_run_upstream(shape, port, int(more.get('seed', 1))))
+
+
+def main() -> None:
+    """Start from the command line."""
+    programs.run_program({'platform': run_platform, 'upstream': run_upstream})
--- /dev/null
+++ b/src/lentilgauge/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Track what each upstream can carry."""
--- /dev/null
+++ b/src/lentilgauge/vms/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what runs on an entry VM."""
--- /dev/null
+++ b/src/lentilgauge/vms/entry.py
@@ -0,0 +1,136 @@
+"""Hold the state of one entry process."""
+
+import asyncio
+import dataclasses
+import random
+import secrets
+
+from tornado import httpclient
+
+from lentilgauge import clock, metrics, settings
+from lentilgauge.callers import kinds, retries
+from lentilgauge.links import http_client
+from lentilgauge.services import catalog
+from lentilgauge.upstreams import gates
+from lentilgauge.vms import replica
+
+_ID_BYTES = 6
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Entry:
+    """Hold what one entry knows and what it has in flight.
+
+    `fresh_deadline_ms` is until when its configuration counts as fresh.
+    """
+
+    vm: settings.VmSettings
+    section: settings.EntrySettings
+    client: httpclient.AsyncHTTPClient
+    replica: replica.Replica
+    metrics: metrics.Metrics
+    now_ms: clock.Clock
+    random: random.Random
+    id_prefix: str
+    fresh_deadline_ms: int = 0
+    leaving: bool = False
+    in_flight: int = 0
+    idle: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    last_id: int = 0
+    catalog_version: int = -1
+    templates_by_shape: kinds.TemplatesByShape = dataclasses.field(
+        default_factory=dict,
+    )
+    pool_by_service: dict[str, tuple[catalog.Upstream, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    gate_by_upstream: dict[str, gates.Gate] = dataclasses.field(
+        default_factory=dict,
+    )
+    budget_by_service: dict[str, retries.Budget] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+def make_entry(
+    loaded: settings.EntryFile,
+    now_ms: clock.Clock = clock.read_monotonic_ms,
+) -> Entry:
+    """Make an entry that has heard of nothing yet."""
+    entry = Entry(
+        vm=loaded.vm,
+        section=loaded.entry,
+        client=http_client.make_client(),
+        replica=replica.Replica(),
+        metrics=metrics.Metrics(),
+        now_ms=now_ms,
+        random=random.Random(),  # ruff: ignore[suspicious-non-cryptographic-random-usage]
+        id_prefix=f'{loaded.vm.id}-{secrets.token_hex(_ID_BYTES)}',
+    )
+    entry.idle.set()
+    return entry
+
+
+def make_request_id(entry: Entry) -> str:
+    """Make an id that no other request of the system has."""
+    entry.last_id += 1
+    return f'{entry.id_prefix}-{entry.last_id}'
+
+
+def begin_request(entry: Entry) -> None:
+    """Count a request in."""
+    entry.in_flight += 1
+    entry.idle.clear()
+
+
+def end_request(entry: Entry) -> None:
+    """Count a request out."""
+    entry.in_flight -= 1
+    if not entry.in_flight:
+        entry.idle.set()
+
+
+def is_fresh(entry: Entry) -> bool:
+    """Tell whether the known configuration may still be acted on."""
+    return entry.now_ms() < entry.fresh_deadline_ms
+
+
+def adopt_configuration(entry: Entry) -> None:
+    """Bring what is derived from the configuration up to date."""
+    config = entry.replica.config
+    if entry.catalog_version != config.version:
+        entry.catalog_version = config.version
+        entry.templates_by_shape = kinds.index_kinds(config.kinds)
+        _adopt_gates(entry, config)
+    for service in config.service_by_name.values():
+        entry.pool_by_service[service.name] = _list_pool(entry, service)
+
+
+def _adopt_gates(entry: Entry, config: catalog.Catalog) -> None:
+    for gone in entry.gate_by_upstream.keys() - config.upstream_by_id.keys():
+        entry.gate_by_upstream.pop(gone)
+    for upstream in config.upstream_by_id.values():
+        gate = entry.gate_by_upstream.setdefault(
+            upstream.id,
+            gates.Gate(limit=upstream.concurrency),
+        )
+        gate.limit = upstream.concurrency
+    for service in config.service_by_name:
+        entry.budget_by_service.setdefault(service, retries.Budget())
+
+
+def _list_pool(
+    entry: Entry,
+    service: catalog.Service,
+) -> tuple[catalog.Upstream, ...]:
+    """List the upstreams that may get a pooled service's new requests."""
+    slot_map = entry.replica.slot_map_by_service.get(service.name)
+    if slot_map is None or service.keyed:
+        return ()
+    config = entry.replica.config
+    return tuple(
+        upstream
+        for upstream in catalog.list_upstreams(config, service.name)
+        if upstream.id in slot_map.incarnation_by_id
+        and catalog.accepts_new_work(config, upstream.id)
+    )
