Add the demo, the load tool and a benchmark of the entry's cost

Cause: nothing showed the main job or what it costs. Change: open-loop load with probes, a stand-in balancer, journals that outlive a kill, and a judgement that lays callers' samples beside them. A request for an upstream that can't be reached now waits for its slot's next owner instead of spending the retry budget. Conclusion: waiting for a route is cheaper than retrying towards a dead one.

--- a/src/lentilgauge/callers/dispatch.py
+++ b/src/lentilgauge/callers/dispatch.py
@@ -42,9 +42,9 @@
     last: errors.Failure = _TOO_SHORT
     while entry.now_ms() < request.deadline_ms:
         route = routing.find_route(entry, request)
-        if route is None:
+        if route is None or is_suspended(entry, route):
             last = _NO_OWNER
-            await _wait_for_route(entry, request)
+            await _wait_for_route(entry, request, route)
             continue
         outcome = await _attempt(entry, request, route)
         if isinstance(outcome, upstream_data.Executed):
@@ -59,11 +59,33 @@
 async def _wait_for_route(
     entry: entry_module.Entry,
     request: request_module.CallerRequest,
+    route: routing.Route | None,
 ) -> None:
-    left_ms = request.deadline_ms - entry.now_ms()
+    """Wait for another route, or until an upstream may be tried again."""
+    deadline_ms = request.deadline_ms
+    if route is not None:
+        gate = entry.gate_by_upstream[route.upstream.id]
+        deadline_ms = min(deadline_ms, gate.suspended_deadline_ms)
+    left_ms = max(1, deadline_ms - entry.now_ms())
     await replica.wait_for_change(entry.replica, clock.to_seconds(left_ms))
 
 
+def is_suspended(entry: entry_module.Entry, route: routing.Route) -> bool:
+    """Tell whether an upstream is passed over, for keyed services too.
+
+    Once the time is up, the first request to come finds out for all: the
+    others go on waiting until it has its answer.
+    """
+    gate = entry.gate_by_upstream[route.upstream.id]
+    if not gate.suspended_deadline_ms:
+        return False
+    now_ms = entry.now_ms()
+    if now_ms < gate.suspended_deadline_ms:
+        return True
+    gate.suspended_deadline_ms = now_ms + SUSPEND_MS
+    return False
+
+
 async def _pause(
     entry: entry_module.Entry,
     request: request_module.CallerRequest,
@@ -88,6 +110,11 @@
     entry.metrics.count('attempts_failed', verdict)
     if not retries.may_retry(verdict, idempotent=request.kind.idempotent):
         return False
+    if isinstance(outcome, upstream_data.Refused) and (
+        outcome.reason in retries.MOVING_REASONS
+    ):
+        # The slot is moving: waiting for it costs its upstreams nothing.
+        return True
     return retries.spend(entry.budget_by_service[request.kind.service])
 
 
@@ -160,4 +187,6 @@
         if outcome.failure is not http_client.LinkFailure.INVALID:
             gate.suspended_deadline_ms = entry.now_ms() + SUSPEND_MS
     elif isinstance(outcome, upstream_data.Refused):
+        # Whoever refuses can be reached.
+        gate.suspended_deadline_ms = 0
         entry.metrics.count('upstream_refusals', outcome.reason)
--- a/src/lentilgauge/callers/retries.py
+++ b/src/lentilgauge/callers/retries.py
@@ -5,6 +5,7 @@
 import types
 
 from lentilgauge import errors
+from lentilgauge.contracts import lease
 from lentilgauge.links import http_client, upstream_data
 
 #: Each first attempt earns this share of a retry; the rest is a reserve.
@@ -12,6 +13,16 @@
 RETRY_RESERVE = 20
 
 
+#: Refusals that end by themselves once a slot has its new owner.
+MOVING_REASONS = frozenset(
+    (
+        lease.RunRefusal.NOT_OWNER,
+        lease.RunRefusal.STALE_EPOCH,
+        lease.RunRefusal.LEASE_LAPSED,
+    )
+)
+
+
 class Verdict(enum.StrEnum):
     """Say what an attempt proves about the request's execution."""
 
--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -9,14 +9,13 @@
 from returns import result
 from tornado import httpserver, httputil, netutil
 
-from lentilgauge import errors, metrics
+from lentilgauge import clock, errors, metrics
 from lentilgauge.callers import dispatch, kinds
 from lentilgauge.callers import request as request_module
 from lentilgauge.links import http_server, upstream_data
 from lentilgauge.vms import entry as entry_module
 
 _BACKLOG = 2048
-_NS_PER_US = 1000
 #: The HTTP library's own limits stand above ours, so that most requests
 #: that are too large get a typed answer.
 _HEADROOM = 4
@@ -227,7 +226,7 @@
 def _count(exchange: Exchange, outcome: str) -> None:
     counted: metrics.Metrics = exchange.entry.metrics
     counted.count('requests', f'{exchange.kind}/{outcome}')
-    span_us = (time.monotonic_ns() - exchange.started_ns) / _NS_PER_US
+    span_us = (time.monotonic_ns() - exchange.started_ns) / clock.NS_PER_US
     counted.record_us('request', exchange.kind, span_us)
 
 
--- a/src/lentilgauge/load/cluster.py
+++ b/src/lentilgauge/load/cluster.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from lentilgauge.load import processes, topology
 
@@ -54,9 +54,10 @@
 def make_cluster(
     shape: topology.Topology,
     folder: pathlib.Path,
+    more_names: Sequence[str] = (),
 ) -> Cluster:
-    """Choose ports for a system and write its settings."""
-    names = _list_names(shape)
+    """Choose ports for a system, and more names, and write its settings."""
+    names = [*_list_names(shape), *more_names]
     ports = _find_free_ports(len(names))
     cluster = Cluster(
         shape=shape,
@@ -85,7 +86,8 @@
         path.write_text(render(cluster.shape, vm, ports), encoding='utf-8')
 
 
-def _find_program(name: str) -> str:
+def find_program(name: str) -> str:
+    """Return the path of one of the project's programs."""
     return str(pathlib.Path(sys.executable).parent / name)
 
 
@@ -94,7 +96,7 @@
     program, *rest = arguments
     cluster.process_by_name[name] = await processes.start_process(
         name,
-        (_find_program(program), *rest),
+        (find_program(program), *rest),
         cluster.folder / f'{name}.log',
     )
 
@@ -110,6 +112,14 @@
     )
 
 
+def get_journal_path(
+    cluster: Cluster,
+    upstream_id: str,
+) -> pathlib.Path:
+    """Return where an upstream keeps its journal, over all incarnations."""
+    return cluster.folder / f'{upstream_id}.journal'
+
+
 async def start_upstream(cluster: Cluster, upstream: topology.Upstream) -> None:
     """Start one upstream stand-in."""
     await start(
@@ -119,6 +129,7 @@
         'upstream',
         f'--id={upstream.id}',
         f'--port={cluster.port_by_name[upstream.id]}',
+        f'--journal={get_journal_path(cluster, upstream.id)}',
         *topology.list_upstream_flags(upstream),
     )
 
--- /dev/null
+++ b/src/lentilgauge/load/command_line.py
@@ -0,0 +1,15 @@
+"""Run `lentilgauge-load`."""
+
+from lentilgauge import programs
+from lentilgauge.load import closed_loop, demo, entry_bench
+
+
+def main() -> None:
+    """Start from the command line."""
+    programs.run_program(
+        {
+            'demo': demo.run_demo,
+            'bench-entry': entry_bench.run_entry_bench,
+            'closed-loop': closed_loop.run_closed_loop,
+        }
+    )
--- a/src/lentilgauge/load/observer.py
+++ b/src/lentilgauge/load/observer.py
@@ -14,7 +14,7 @@
 from lentilgauge.load import topology
 from lentilgauge.operators import changes, status
 from lentilgauge.services import configuration
-from lentilgauge.standins import platform_server, upstream_server
+from lentilgauge.standins import platform_server
 
 _TIMEOUT_MS = 2000
 _POLL_SECONDS = 0.02
@@ -161,21 +161,6 @@
     )
 
 
-async def get_journal(
-    cluster: cluster_module.Cluster,
-    client: httpclient.AsyncHTTPClient,
-    upstream_id: str,
-) -> upstream_server.JournalsMessage:
-    """Read an upstream's journal."""
-    asked = await ask(
-        client,
-        cluster.get_url(upstream_id),
-        operator_link.Question(method='GET', path='/control/journal'),
-        upstream_server.JournalsMessage,
-    )
-    return asked.unwrap()
-
-
 async def set_faults(
     cluster: cluster_module.Cluster,
     client: httpclient.AsyncHTTPClient,
--- a/src/lentilgauge/load/processes.py
+++ b/src/lentilgauge/load/processes.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import dataclasses
+import os
 import pathlib
 import signal
 from collections.abc import Sequence
 
 START_SECONDS = 30
+#: Fields of a process's stat after its name: user and system ticks.
+_USER_FIELD = 11
+_SYSTEM_FIELD = 12
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -49,6 +53,20 @@
     return process
 
 
+def read_cpu_seconds(pid: int) -> float:
+    """Return the CPU time that a process has spent, user and system."""
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='utf-8')
+    fields = stat.rpartition(')')[2].split()
+    ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+def read_resident_bytes(pid: int) -> int:
+    """Return how much memory a process has resident."""
+    statm = pathlib.Path(f'/proc/{pid}/statm').read_text(encoding='utf-8')
+    return int(statm.split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
+
 async def stop_process(process: Process, number: signal.Signals) -> None:
     """Send a signal to a process and wait until it has ended."""
     if process.child.returncode is None:
--- a/src/lentilgauge/metrics.py
+++ b/src/lentilgauge/metrics.py
@@ -21,7 +21,8 @@
     label: str = ''
 
 
-def _make_histogram() -> hdr.HdrHistogram:
+def make_histogram() -> hdr.HdrHistogram:
+    """Make an empty histogram of microseconds."""
     return hdr.HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
 
 
@@ -45,7 +46,7 @@
         name = Label(family, label)
         histogram = self.histogram_by_label.get(name)
         if histogram is None:
-            histogram = _make_histogram()
+            histogram = make_histogram()
             self.histogram_by_label[name] = histogram
         histogram.record_value(min(max(int(span_us), LOWEST_US), HIGHEST_US))
 
--- a/src/lentilgauge/standins/command_line.py
+++ b/src/lentilgauge/standins/command_line.py
@@ -3,7 +3,12 @@
 import asyncio
 
 from lentilgauge import programs
-from lentilgauge.standins import platform_server, upstream, upstream_server
+from lentilgauge.standins import (
+    pass_through,
+    platform_server,
+    upstream,
+    upstream_server,
+)
 from lentilgauge.vms import process
 
 _LOOPBACK = '127.0.0.1'
@@ -19,12 +24,18 @@
     await _wait_until_stopped('platform')
 
 
-async def _run_upstream(shape: upstream.Shape, port: int, seed: int) -> None:
+async def _run_upstream(
+    shape: upstream.Shape,
+    port: int,
+    seed: int,
+    journal_path: str,
+) -> None:
     upstream_server.start_upstream(
         shape,
         address=_LOOPBACK,
         port=port,
         seed=seed,
+        journal_path=journal_path,
     )
     await _wait_until_stopped('upstream')
 
@@ -41,22 +52,45 @@
     concurrency: int = 2,
     queue_limit: int = 8,
     service_ms: float = 2,
-    checks_tokens: bool = True,
+    journal: str = '',
     **more: float,
 ) -> None:
-    """Run one upstream; more are `cold_factor`, `warm_after` and `seed`."""
+    """Run one upstream.
+
+    More are `checks_tokens`, `cold_factor`, `warm_after` and `seed`.
+    """
     shape = upstream.Shape(
         upstream_id=str(id),
         concurrency=concurrency,
         queue_limit=queue_limit,
         service_ms=service_ms,
-        checks_tokens=checks_tokens,
+        checks_tokens=bool(more.get('checks_tokens', True)),
         cold_factor=more.get('cold_factor', 1),
         warm_after=int(more.get('warm_after', 0)),
     )
-    asyncio.run(_run_upstream(shape, port, int(more.get('seed', 1))))
+    asyncio.run(_run_upstream(shape, port, int(more.get('seed', 1)), journal))
+
+
+async def _run_pass_through(target: str, port: int) -> None:
+    pass_through.start_pass_through(
+        address=_LOOPBACK,
+        port=port,
+        target=target,
+    )
+    await _wait_until_stopped('pass-through')
+
+
+def run_pass_through(*, target: str, port: int) -> None:
+    """Run a bare pass-through to one target, as a baseline."""
+    asyncio.run(_run_pass_through(target, port))
 
 
 def main() -> None:
     """Start from the command line."""
-    programs.run_program({'platform': run_platform, 'upstream': run_upstream})
+    programs.run_program(
+        {
+            'platform': run_platform,
+            'upstream': run_upstream,
+            'pass-through': run_pass_through,
+        }
+    )
--- a/src/lentilgauge/standins/upstream.py
+++ b/src/lentilgauge/standins/upstream.py
@@ -3,38 +3,11 @@
 import asyncio
 import collections
 import dataclasses
-import enum
 import random
 
 from lentilgauge import clock
 from lentilgauge.contracts import holder, lease
-
-
-class Outcome(enum.StrEnum):
-    """Name what became of one received request."""
-
-    RAN = 'ran'
-    REFUSED = 'refused'
-    CANCELLED = 'cancelled'
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class JournalEntry:
-    """Record one received request and what became of it.
-
-    `started_ms` and `ended_ms` are in the wall clock, so that the journals
-    of several upstreams can be laid side by side.
-    """
-
-    request_id: str
-    idempotency_key: str
-    path: str
-    slot: int
-    epoch: int
-    outcome: Outcome
-    reason: str = ''
-    started_ms: int = 0
-    ended_ms: int = 0
+from lentilgauge.standins import journal
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -75,7 +48,7 @@
     random: random.Random
     gate: asyncio.Semaphore
     now_ms: clock.Clock
-    journal: list[JournalEntry] = dataclasses.field(default_factory=list)
+    journal: journal.Journal
     queued_by_id: dict[str, asyncio.Task[None]] = dataclasses.field(
         default_factory=dict,
     )
@@ -84,7 +57,6 @@
     )
     faults: Faults = dataclasses.field(default_factory=Faults)
     running: int = 0
-    most_running: int = 0
     waiting: int = 0
     executed: int = 0
     leaving: bool = False
@@ -106,12 +78,14 @@
     *,
     incarnation: str,
     seed: int,
+    journal_path: str,
     now_ms: clock.Clock = clock.read_monotonic_ms,
 ) -> Upstream:
     """Make an upstream that holds no lease yet."""
     return Upstream(
         shape=shape,
         held=holder.Holder(incarnation=incarnation),
+        journal=journal.open_journal(journal_path),
         random=random.Random(seed),  # ruff: ignore[suspicious-non-cryptographic-random-usage]
         gate=asyncio.Semaphore(shape.concurrency),
         now_ms=now_ms,
@@ -135,21 +109,25 @@
 def _record(
     upstream: Upstream,
     work: Work,
-    outcome: Outcome,
+    outcome: journal.Outcome,
     reason: str = '',
-) -> JournalEntry:
-    entry = JournalEntry(
-        request_id=work.request_id,
-        idempotency_key=work.idempotency_key,
-        path=work.path,
-        slot=work.wanted.slot,
-        epoch=work.wanted.epoch,
-        outcome=outcome,
-        reason=reason,
-        started_ms=clock.read_wall_ms(),
+) -> None:
+    journal.write_line(
+        upstream.journal,
+        journal.Line(
+            upstream_id=upstream.shape.upstream_id,
+            incarnation=upstream.held.incarnation,
+            request_id=work.request_id,
+            idempotency_key=work.idempotency_key,
+            path=work.path,
+            slot=work.wanted.slot,
+            epoch=work.wanted.epoch,
+            outcome=outcome,
+            reason=reason,
+            at_us=clock.read_wall_us(),
+            running=upstream.running,
+        ),
     )
-    upstream.journal.append(entry)
-    return entry
 
 
 def refuse(
@@ -158,7 +136,7 @@
     reason: lease.RunRefusal,
 ) -> lease.RunRefusal:
     """Record and return a refusal."""
-    _record(upstream, work, Outcome.REFUSED, reason)
+    _record(upstream, work, journal.Outcome.REFUSED, reason)
     return reason
 
 
@@ -226,15 +204,15 @@
 
 
 async def _run(upstream: Upstream, work: Work) -> None:
-    entry = _record(upstream, work, Outcome.RAN)
     upstream.running += 1
-    upstream.most_running = max(upstream.most_running, upstream.running)
+    _record(upstream, work, journal.Outcome.STARTED)
     try:
-        await asyncio.sleep(clock.to_seconds(_draw_service_ms(upstream)))
+        if upstream.shape.service_ms:
+            await asyncio.sleep(clock.to_seconds(_draw_service_ms(upstream)))
     finally:
         upstream.running -= 1
         upstream.executed += 1
-        entry.ended_ms = clock.read_wall_ms()
+        _record(upstream, work, journal.Outcome.ENDED)
 
 
 def list_busy_slots(upstream: Upstream) -> list[int]:
--- a/src/lentilgauge/standins/upstream_server.py
+++ b/src/lentilgauge/standins/upstream_server.py
@@ -24,31 +24,6 @@
 _INCARNATION_BYTES = 6
 
 
-class JournalMessage(pydantic.BaseModel):
-    """Carry one journal entry."""
-
-    model_config = pydantic.ConfigDict(from_attributes=True)
-
-    request_id: str
-    idempotency_key: str
-    path: str
-    slot: int
-    epoch: int
-    outcome: upstream_module.Outcome
-    reason: str
-    started_ms: int
-    ended_ms: int
-
-
-class JournalsMessage(pydantic.BaseModel):
-    """Carry the journal of one upstream's incarnation."""
-
-    upstream_id: str
-    incarnation: str
-    most_running: int
-    entries: list[JournalMessage]
-
-
 class LoadMessage(pydantic.BaseModel):
     """Report an upstream's load."""
 
@@ -87,21 +62,6 @@
             refusal = accepted.failure()
         return http_server.respond(_make_reply(upstream, refusal))
 
-    async def get_journal(
-        request: http_server.Request,
-    ) -> http_server.Response:
-        return http_server.respond(
-            JournalsMessage(
-                upstream_id=upstream.shape.upstream_id,
-                incarnation=upstream.held.incarnation,
-                most_running=upstream.most_running,
-                entries=[
-                    JournalMessage.model_validate(entry)
-                    for entry in upstream.journal
-                ],
-            ),
-        )
-
     async def get_load(request: http_server.Request) -> http_server.Response:
         return http_server.respond(
             LoadMessage(
@@ -118,7 +78,6 @@
 
     return {
         http_server.Route('POST', upstream_control.GRANT_PATH): take_grant,
-        http_server.Route('GET', '/control/journal'): get_journal,
         http_server.Route('GET', '/control/load'): get_load,
         http_server.Route('POST', '/control/faults'): set_faults,
     }
@@ -295,12 +254,14 @@
     address: str,
     port: int,
     seed: int,
+    journal_path: str = '',
 ) -> httpserver.HTTPServer:
     """Start one upstream stand-in."""
     upstream = upstream_module.make_upstream(
         shape,
         incarnation=secrets.token_hex(_INCARNATION_BYTES),
         seed=seed,
+        journal_path=journal_path,
     )
     answer_control = http_server.make_callback(make_control_routes(upstream))
     running: set[asyncio.Task[None]] = set()
