--- a/src/lentilgauge/links/http_server.py
+++ b/src/lentilgauge/links/http_server.py
@@ -114,7 +114,8 @@
     )
 
 
-async def _make_response(routes: Routes, request: Request) -> Response:
+async def make_response(routes: Routes, request: Request) -> Response:
+    """Answer a request by the routes."""
     responder = _find_responder(routes, request.method, request.path)
     if responder is None:
         return respond_failure(
@@ -139,7 +140,7 @@
     received: httputil.HTTPServerRequest,
 ) -> None:
     try:
-        response = await _make_response(routes, _read_request(received))
+        response = await make_response(routes, _read_request(received))
     except Exception:
         # The peer must not wait for an answer that will never come.
         loguru.logger.exception('control request failed')
--- a/src/lentilgauge/operators/endpoint.py
+++ b/src/lentilgauge/operators/endpoint.py
@@ -7,7 +7,7 @@
 from lentilgauge.operators import changes, status
 from lentilgauge.services import keys, slots
 from lentilgauge.vms import controller as controller_module
-from lentilgauge.vms import membership, replica, terms, witnesses
+from lentilgauge.vms import membership, replica, settlement, witnesses
 
 _MOST_WAIT_MS = 30_000
 
@@ -59,7 +59,7 @@
         return http_server.Response()
 
     async def step_down(request: http_server.Request) -> http_server.Response:
-        return terms.step_down(controller, request)
+        return settlement.step_down(controller, request)
 
     async def vouch(request: http_server.Request) -> http_server.Response:
         return witnesses.answer_vouch(controller, request)
@@ -70,7 +70,7 @@
     return {
         http_server.Route('GET', relay.CHANGES_PATH): get_changes,
         http_server.Route('GET', membership.HEARTBEAT_PATH): answer_heartbeat,
-        http_server.Route('POST', terms.STEP_DOWN_PATH): step_down,
+        http_server.Route('POST', settlement.STEP_DOWN_PATH): step_down,
         http_server.Route('POST', witness_link.VOUCH_PATH): vouch,
         http_server.Route('POST', witness_link.RELEASE_PATH): release,
     }
--- a/src/lentilgauge/vms/membership.py
+++ b/src/lentilgauge/vms/membership.py
@@ -60,13 +60,20 @@
     )
 
 
+async def announce_if_needed(
+    controller: controller_module.Controller,
+) -> None:
+    """Announce this VM unless the platform has it as live."""
+    known = controller.replica.confirmed_ms is not None
+    if known and not _is_announced(controller):
+        await announce_vm(controller, _LIVE)
+        logs.log_change('announced this VM', vm=controller.vm_id)
+
+
 async def keep_announced(controller: controller_module.Controller) -> None:
     """Announce this VM, and again whenever others took it for lost."""
     while not controller.leaving:
-        known = controller.replica.confirmed_ms is not None
-        if known and not _is_announced(controller):
-            await announce_vm(controller, _LIVE)
-            logs.log_change('announced this VM', vm=controller.vm_id)
+        await announce_if_needed(controller)
         await controller_module.wait_for_change(
             controller,
             controller.section.confirm_ms,
@@ -157,19 +164,25 @@
     logs.log_change('a VM is lost', vm=vm_id)
 
 
+async def check_peers(controller: controller_module.Controller) -> None:
+    """Send one heartbeat to each watched peer and mark the silent ones."""
+    started_ms = controller.now_ms()
+    watched = list_watched(controller)
+    for gone in controller.peer_deadline_by_id.keys() - set(watched):
+        controller.peer_deadline_by_id.pop(gone)
+    await asyncio.gather(
+        *(_check_peer(controller, vm_id) for vm_id in watched),
+    )
+    _forgive_after_pause(controller, started_ms)
+
+
 async def watch_peers(controller: controller_module.Controller) -> None:
-    """Send heartbeats to the watched peers and mark the silent ones lost."""
-    interval_seconds = clock.to_seconds(controller.section.peer_heartbeat_ms)
+    """Check the peers for as long as the process lives."""
     while True:
-        started_ms = controller.now_ms()
-        watched = list_watched(controller)
-        for gone in controller.peer_deadline_by_id.keys() - set(watched):
-            controller.peer_deadline_by_id.pop(gone)
-        await asyncio.gather(
-            *(_check_peer(controller, vm_id) for vm_id in watched),
+        await check_peers(controller)
+        await asyncio.sleep(
+            clock.to_seconds(controller.section.peer_heartbeat_ms),
         )
-        _forgive_after_pause(controller, started_ms)
-        await asyncio.sleep(interval_seconds)
 
 
 def _forgive_after_pause(
--- a/src/lentilgauge/vms/platform_watch.py
+++ b/src/lentilgauge/vms/platform_watch.py
@@ -19,22 +19,32 @@
     """Keep the replica up to date for as long as the process lives."""
     reachable = True
     while True:
-        asked_ms = controller.now_ms()
         # The first answer must not wait: it carries everything there is.
         first = controller.replica.confirmed_ms is None
-        watched = await platform.watch_changes(
-            controller.platform,
-            controller.replica.revision,
-            0 if first else wait_ms,
-        )
-        if isinstance(watched, result.Success) != reachable:
-            reachable = not reachable
+        followed = await follow_once(controller, 0 if first else wait_ms)
+        if followed != reachable:
+            reachable = followed
             logs.log_change('platform link changed', reachable=reachable)
-        if isinstance(watched, result.Success):
-            await _take_answer(controller, watched.unwrap(), asked_ms)
-            continue
+        if not followed:
+            await asyncio.sleep(clock.to_seconds(_RETRY_MS))
+
+
+async def follow_once(
+    controller: controller_module.Controller,
+    wait_ms: int,
+) -> bool:
+    """Ask once for changes; tell whether the platform answered."""
+    asked_ms = controller.now_ms()
+    watched = await platform.watch_changes(
+        controller.platform,
+        controller.replica.revision,
+        wait_ms,
+    )
+    if not isinstance(watched, result.Success):
         controller.metrics.count('platform_failures')
-        await asyncio.sleep(clock.to_seconds(_RETRY_MS))
+        return False
+    await _take_answer(controller, watched.unwrap(), asked_ms)
+    return True
 
 
 async def _take_answer(
--- a/src/lentilgauge/vms/renewals.py
+++ b/src/lentilgauge/vms/renewals.py
@@ -131,14 +131,15 @@
         if upstream is None:
             break
         if upstream.service in controller.replica.slot_map_by_service:
-            await _keep_once(controller, upstream)
+            await keep_once(controller, upstream)
         await controller_module.wait_for_change(controller, _TICK_MS)
 
 
-async def _keep_once(
+async def keep_once(
     controller: controller_module.Controller,
     upstream: catalog.Upstream,
 ) -> None:
+    """Exchange a grant where it is time to, and settle what follows."""
     held = controller.lessor_by_upstream[upstream.id]
     if _needs_exchange(controller, held, upstream):
         held.renewal_deadline_ms = (
--- a/src/lentilgauge/vms/terms.py
+++ b/src/lentilgauge/vms/terms.py
@@ -2,17 +2,15 @@
 
 import asyncio
 
-import pydantic
 from returns import result
 
 from lentilgauge import clock, logs
 from lentilgauge.contracts import lessor
-from lentilgauge.links import http_client, http_server, state_messages
+from lentilgauge.links import state_messages
 from lentilgauge.services import placement
 from lentilgauge.vms import controller as controller_module
-from lentilgauge.vms import membership, object_writes, witnesses
+from lentilgauge.vms import membership, object_writes, settlement, witnesses
 
-STEP_DOWN_PATH = '/peer/step-down/'
 _TICK_MS = 500
 _SETTLE_TICK_MS = 200
 
@@ -26,16 +24,6 @@
 )
 
 
-class StepDownMessage(pydantic.BaseModel):
-    """Promise that an older term grants no more.
-
-    `lapse_in_ms` is how long its last grant may still be held, `None` where
-    the answering controller can't promise that.
-    """
-
-    lapse_in_ms: int | None
-
-
 def _name(upstream_id: str) -> str:
     return f'{state_messages.TERM_PREFIX}{upstream_id}'
 
@@ -120,7 +108,7 @@
     controller.lessor_by_upstream[upstream_id] = taken
     logs.log_change('took a term', upstream=upstream_id, term=body.term)
     await _make_ready(controller, taken)
-    await settle_term(controller, taken)
+    await settlement.settle_term(controller, taken)
 
 
 async def _make_ready(
@@ -147,106 +135,14 @@
     }
 
 
-async def settle_term(
+async def take_missing_terms(
     controller: controller_module.Controller,
-    taken: lessor.Lessor,
 ) -> None:
-    """Find out when the grants of all earlier terms have lapsed."""
-    body = controller.replica.term_by_upstream.get(taken.upstream_id)
-    if body is None or body.term != taken.term:
-        return
-    ends_ms = await asyncio.gather(
-        *(_settle_earlier(controller, taken, old) for old in body.unsettled),
-    )
-    known_ms = [end_ms for end_ms in ends_ms if end_ms is not None]
-    if len(known_ms) == len(ends_ms) and taken.lapse_deadline_ms is None:
-        taken.settled_ms = max(known_ms, default=controller.now_ms())
-        taken.lapse_deadline_ms = max(
-            taken.settled_ms,
-            taken.granted_deadline_ms,
-        )
-
-
-async def _settle_earlier(
-    controller: controller_module.Controller,
-    taken: lessor.Lessor,
-    old: state_messages.EarlierTerm,
-) -> int | None:
-    """Return when one earlier term's grants have lapsed, `None` if unknown.
-
-    Either its controller says so, or its witnesses no longer vouch for it
-    and the platform's last confirmation of it has worn off.
-    """
-    stepped_ms = await _ask_to_step_down(controller, taken, old)
-    if stepped_ms is not None:
-        return stepped_ms
-    released_ms = await witnesses.release_old_term(controller, taken, old)
-    if released_ms is None:
-        return None
-    section = controller.section
-    terms = controller.terms
-    worn_off_ms = taken.opened_ms + lessor.stretch(
-        terms,
-        section.confirm_grace_ms,
-    )
-    return max(worn_off_ms, released_ms) + lessor.stretch(
-        terms,
-        section.lease_ms,
-    )
-
-
-async def _ask_to_step_down(
-    controller: controller_module.Controller,
-    taken: lessor.Lessor,
-    old: state_messages.EarlierTerm,
-) -> int | None:
-    """Return when the old term's last grant lapses, if its holder answers."""
-    vm = controller.replica.vm_by_id.get(old.controller)
-    if vm is None:
-        return None
-    sent = await http_client.send_call(
-        controller.client,
-        http_client.Call(
-            method='POST',
-            url=(
-                f'http://{vm.address}:{vm.port}'
-                f'{STEP_DOWN_PATH}{taken.upstream_id}'
-            ),
-            timeout_ms=controller.section.call_timeout_ms,
-            body=old.model_dump_json().encode(),
-        ),
+    """Take every term that now falls to this VM."""
+    missing = list_missing_terms(controller)
+    await asyncio.gather(
+        *(take_over(controller, upstream_id) for upstream_id in missing),
     )
-    if not isinstance(sent, result.Success):
-        return None
-    try:
-        message = StepDownMessage.model_validate_json(sent.unwrap().body)
-    except pydantic.ValidationError:
-        return None
-    if message.lapse_in_ms is None:
-        return None
-    span_ms = lessor.stretch(controller.terms, message.lapse_in_ms)
-    return controller.now_ms() + span_ms
-
-
-def step_down(
-    controller: controller_module.Controller,
-    request: http_server.Request,
-) -> http_server.Response:
-    """Stop granting in a term and say when its last grant lapses."""
-    upstream_id = request.path.removeprefix(STEP_DOWN_PATH)
-    old = state_messages.EarlierTerm.model_validate_json(request.body)
-    mine = controller.lessor_by_upstream.get(upstream_id)
-    asked = (old.controller, old.incarnation)
-    if asked != (controller.vm_id, controller.incarnation):
-        return http_server.respond(StepDownMessage(lapse_in_ms=None))
-    if mine is None or mine.term != old.term:
-        return http_server.respond(StepDownMessage(lapse_in_ms=None))
-    if not mine.stepped_down:
-        mine.stepped_down = True
-        logs.log_change('stepped down', upstream=upstream_id, term=old.term)
-    lapse_ms = max(mine.granted_deadline_ms, mine.lapse_deadline_ms or 0)
-    left_ms = max(0, lapse_ms - controller.now_ms())
-    return http_server.respond(StepDownMessage(lapse_in_ms=left_ms))
 
 
 async def divide_upstreams(controller: controller_module.Controller) -> None:
@@ -254,44 +150,45 @@
     # Peers start together: what they find in the first moment isn't all.
     await asyncio.sleep(clock.to_seconds(_TICK_MS))
     while True:
-        missing = list_missing_terms(controller)
-        await asyncio.gather(
-            *(take_over(controller, upstream_id) for upstream_id in missing),
-        )
+        await take_missing_terms(controller)
         await controller_module.wait_for_change(controller, _TICK_MS)
 
 
-async def settle_terms(controller: controller_module.Controller) -> None:
-    """Settle the terms that aren't, and keep their records up to date."""
-    while True:
-        held = [
-            one
-            for one in list(controller.lessor_by_upstream.values())
-            if holds_term(controller, one.upstream_id) and not one.stepped_down
-        ]
-        await asyncio.gather(
-            *(
-                settle_term(controller, one)
-                for one in held
-                if one.lapse_deadline_ms is None
-            ),
-        )
-        await asyncio.gather(
-            *(_make_ready(controller, one) for one in held if not one.ready),
-        )
-        await asyncio.gather(
-            *(_refresh_record(controller, one) for one in held),
-        )
-        await asyncio.sleep(clock.to_seconds(_SETTLE_TICK_MS))
+def _forget_lapsed(controller: controller_module.Controller) -> None:
+    """Forget lost terms once none of their grants can be held any more."""
+    now_ms = controller.now_ms()
+    for upstream_id, held in list(controller.lessor_by_upstream.items()):
+        lapsed = now_ms >= held.granted_deadline_ms
+        if lapsed and not holds_term(controller, upstream_id):
+            controller.lessor_by_upstream.pop(upstream_id)
 
 
-def is_settled(
+async def settle_held_terms(
     controller: controller_module.Controller,
-    held: lessor.Lessor,
-) -> bool:
-    """Tell whether no earlier term's grant can still be held."""
-    settled_ms = held.settled_ms
-    return settled_ms is not None and controller.now_ms() >= settled_ms
+) -> None:
+    """Settle the held terms once, and bring their records up to date."""
+    _forget_lapsed(controller)
+    held = [
+        one
+        for one in list(controller.lessor_by_upstream.values())
+        if holds_term(controller, one.upstream_id) and not one.stepped_down
+    ]
+    await asyncio.gather(
+        *(
+            settlement.settle_term(controller, one)
+            for one in held
+            if one.lapse_deadline_ms is None
+        ),
+        *(_make_ready(controller, one) for one in held if not one.ready),
+    )
+    await asyncio.gather(*(_refresh_record(controller, one) for one in held))
+
+
+async def settle_terms(controller: controller_module.Controller) -> None:
+    """Settle the held terms for as long as the process lives."""
+    while True:
+        await settle_held_terms(controller)
+        await asyncio.sleep(clock.to_seconds(_SETTLE_TICK_MS))
 
 
 def _is_record_current(
@@ -300,7 +197,7 @@
     body: state_messages.TermBody,
 ) -> bool:
     """Tell whether a record names live witnesses and no settled term."""
-    if body.unsettled and is_settled(controller, held):
+    if body.unsettled and settlement.is_settled(controller, held):
         return False
     live = membership.list_live_domains(controller)
     wanted = min(witnesses.NAMED, len(live.keys() - {controller.vm_id}))
@@ -338,7 +235,7 @@
                     held.upstream_id,
                 ),
                 'unsettled': []
-                if is_settled(controller, held)
+                if settlement.is_settled(controller, held)
                 else body.unsettled,
             },
         ),
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -2,5 +2,8 @@
 
 import logging
 
+import loguru
+
 # The test library runs loops in debug mode, which reports every slow step.
 logging.getLogger('asyncio').setLevel(logging.ERROR)
+loguru.logger.disable('lentilgauge')
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from lentilgauge.load import observer, users
+from lentilgauge.load import journals, observer, users
 from lentilgauge.standins import upstream_server
 from tests import systems
 
@@ -51,10 +51,8 @@
                 self.assertEqual(reply.status, 502)
                 self.assertEqual(answer['kind'], kind)
                 self.assertEqual(answer['ran'], 'unknown')
-            journal = await observer.get_journal(
-                system.cluster,
-                system.client,
-                'settlements-1',
+            findings = journals.judge_journals(
+                journals.read_journals(system.cluster),
             )
             # Each was sent once and ran once: neither was tried again.
-            self.assertEqual(len(journal.entries), 2)
+            self.assertEqual(len(findings.runs), 2)
