--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -73,13 +73,17 @@
 
 def _make_preparation(
     sends: Sends,
-    most_sends: int,
+    *,
+    send_once: bool,
 ) -> Callable[[pycurl.Curl], None]:
     """Make the function that prepares curl for one call.
 
     curl asks before it sends on any connection, also where it does so again
-    by itself because a kept connection turned out dead.
+    by itself because a kept connection turned out dead. On a kept connection
+    nobody can tell whether a dead peer had read the call, so what must be
+    sent once goes on a fresh one: if there is no peer, nothing was sent.
     """
+    most_sends = 1 if send_once else _MOST_SENDS
 
     def allow_send(*_: object) -> int:
         sends.count += 1
@@ -89,6 +93,7 @@
 
     def prepare(curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.PREREQFUNCTION, allow_send)
+        curl.setopt(pycurl.FRESH_CONNECT, int(send_once))
         curl.setopt(pycurl.TCP_NODELAY, 1)
 
     return prepare
@@ -108,7 +113,7 @@
         allow_nonstandard_methods=True,
         prepare_curl_callback=_make_preparation(
             sends,
-            1 if call.send_once else _MOST_SENDS,
+            send_once=call.send_once,
         ),
     )
 
--- a/src/lentilgauge/links/platform.py
+++ b/src/lentilgauge/links/platform.py
@@ -198,3 +198,26 @@
     except pydantic.ValidationError:
         return result.Failure(_fail('the platform answered no changes'))
     return result.Success(changes)
+
+
+async def list_vms(
+    platform: Platform,
+) -> result.Result[platform_messages.VmListMessage, errors.Failure]:
+    """Read the platform's list of VMs, which lags the truth."""
+    sent = await http_client.send_call(
+        platform.client,
+        http_client.Call(
+            method='GET',
+            url=f'{platform.base_url}/vms',
+            timeout_ms=platform.timeout_ms,
+        ),
+    )
+    if not isinstance(sent, result.Success):
+        return result.Failure(_fail(f'listing VMs: {sent.failure()}'))
+    try:
+        listed = platform_messages.VmListMessage.model_validate_json(
+            sent.unwrap().body,
+        )
+    except pydantic.ValidationError:
+        return result.Failure(_fail('the platform answered no VM list'))
+    return result.Success(listed)
--- a/src/lentilgauge/links/upstream_control.py
+++ b/src/lentilgauge/links/upstream_control.py
@@ -25,7 +25,7 @@
         client,
         http_client.Call(
             method='POST',
-            url=f'{upstream.base_url}{GRANT_PATH}',
+            url=f'{upstream.control_url}{GRANT_PATH}',
             timeout_ms=timeout_ms,
             body=message.model_dump_json().encode(),
         ),
--- a/src/lentilgauge/load/cluster.py
+++ b/src/lentilgauge/load/cluster.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from lentilgauge.load import processes, topology
 
@@ -48,6 +48,8 @@
         topology.PLATFORM,
         *(upstream.id for upstream in shape.upstreams),
         *(name for vm in shape.vms for name in topology.list_vm_names(vm)),
+        *(topology.name_proxy(name) for name in shape.proxied),
+        *(topology.name_proxy_control(name) for name in shape.proxied),
     ]
 
 
@@ -71,19 +73,15 @@
     return cluster
 
 
-def write_vm_settings(
-    cluster: Cluster,
-    vm: topology.Vm,
-    port_by_name: Mapping[str, int] | None = None,
-) -> None:
-    """Write the settings of a VM; a test may route some ports elsewhere."""
-    ports = {**cluster.port_by_name, **(port_by_name or {})}
+def write_vm_settings(cluster: Cluster, vm: topology.Vm) -> None:
+    """Write the settings of a VM."""
     for kind, render in (
         ('controller', topology.render_controller),
         ('entry', topology.render_entry),
     ):
         path = cluster.folder / f'{kind}-{vm.id}.ini'
-        path.write_text(render(cluster.shape, vm, ports), encoding='utf-8')
+        text = render(cluster.shape, vm, cluster.port_by_name)
+        path.write_text(text, encoding='utf-8')
 
 
 def find_program(name: str) -> str:
@@ -154,10 +152,26 @@
     )
 
 
+async def start_proxy(cluster: Cluster, target: str) -> None:
+    """Start the proxy in front of a process."""
+    name = topology.name_proxy(target)
+    control = topology.name_proxy_control(target)
+    await start(
+        cluster,
+        name,
+        'lentilgauge-standin',
+        'proxy',
+        f'--target_port={cluster.port_by_name[target]}',
+        f'--port={cluster.port_by_name[name]}',
+        f'--control_port={cluster.port_by_name[control]}',
+    )
+
+
 async def start_all(cluster: Cluster) -> None:
     """Start every process of a system."""
     await start_platform(cluster)
     await asyncio.gather(
+        *(start_proxy(cluster, name) for name in cluster.shape.proxied),
         *(
             start_upstream(cluster, upstream)
             for upstream in cluster.shape.upstreams
--- a/src/lentilgauge/load/observer.py
+++ b/src/lentilgauge/load/observer.py
@@ -14,7 +14,7 @@
 from lentilgauge.load import topology
 from lentilgauge.operators import changes, status
 from lentilgauge.services import configuration
-from lentilgauge.standins import platform_server
+from lentilgauge.standins import upstream_server
 
 _TIMEOUT_MS = 2000
 _POLL_SECONDS = 0.02
@@ -168,8 +168,8 @@
     faults: pydantic.BaseModel,
 ) -> None:
     """Make a stand-in misbehave."""
-    is_platform = isinstance(faults, platform_server.FaultsMessage)
-    path = '/faults' if is_platform else '/control/faults'
+    is_upstream = isinstance(faults, upstream_server.FaultsMessage)
+    path = '/control/faults' if is_upstream else '/faults'
     await ask(
         client,
         cluster.get_url(name),
--- a/src/lentilgauge/load/topology.py
+++ b/src/lentilgauge/load/topology.py
@@ -62,7 +62,8 @@
 class Topology:
     """Describe a whole system.
 
-    `options` overrides options of the VMs' settings, by section.
+    `options` overrides options of the VMs' settings, by section. Links from
+    controllers to the `proxied` processes go through fault-injecting proxies.
     """
 
     vms: tuple[Vm, ...]
@@ -70,6 +71,17 @@
     kinds: tuple[Kind, ...]
     upstreams: tuple[Upstream, ...]
     options: Sections = dataclasses.field(default_factory=dict)
+    proxied: tuple[str, ...] = ()
+
+
+def name_proxy(target: str) -> str:
+    """Name the proxy in front of a process's port."""
+    return f'proxy-{target}'
+
+
+def name_proxy_control(target: str) -> str:
+    """Name the port by which a proxy is commanded."""
+    return f'proxy-control-{target}'
 
 
 def name_controller(vm: Vm) -> str:
@@ -115,6 +127,11 @@
     return text.getvalue()
 
 
+def find_port(port_by_name: Mapping[str, int], name: str) -> int:
+    """Return the port of a process, or of the proxy in front of it."""
+    return port_by_name.get(name_proxy(name), port_by_name[name])
+
+
 def _make_vm_section(vm: Vm) -> Mapping[str, object]:
     return {
         'id': vm.id,
@@ -134,7 +151,7 @@
             'vm': _make_vm_section(vm),
             'platform': {
                 'address': _LOOPBACK,
-                'port': port_by_name[PLATFORM],
+                'port': find_port(port_by_name, PLATFORM),
                 **shape.options.get('platform', {}),
             },
             'controller': {
@@ -174,13 +191,15 @@
 
 
 def _make_upstream_section(
-    upstream: Upstream, port: int
+    upstream: Upstream,
+    port_by_name: Mapping[str, int],
 ) -> Mapping[str, object]:
     return {
         'service': upstream.service,
         'failure_domain': upstream.failure_domain,
         'address': _LOOPBACK,
-        'port': port,
+        'port': port_by_name[upstream.id],
+        'control_port': find_port(port_by_name, upstream.id),
         'concurrency': upstream.concurrency,
         'connections': upstream.connections,
         'checks_tokens': upstream.checks_tokens,
@@ -207,7 +226,7 @@
             **{
                 f'upstream {upstream.id}': _make_upstream_section(
                     upstream,
-                    port_by_name[upstream.id],
+                    port_by_name,
                 )
                 for upstream in shape.upstreams
             },
--- a/src/lentilgauge/load/users.py
+++ b/src/lentilgauge/load/users.py
@@ -1,5 +1,7 @@
 """Describe the two users' systems at any size."""
 
+import dataclasses
+
 from lentilgauge.load import topology
 
 #: Connections that one upstream of each user carries.
@@ -173,3 +175,11 @@
         ),
         options=options or {},
     )
+
+
+def with_proxies(
+    shape: topology.Topology,
+    proxied: tuple[str, ...],
+) -> topology.Topology:
+    """Put fault-injecting proxies in front of some processes."""
+    return dataclasses.replace(shape, proxied=proxied)
--- a/src/lentilgauge/services/catalog.py
+++ b/src/lentilgauge/services/catalog.py
@@ -47,13 +47,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Upstream:
-    """Describe one upstream as configured."""
+    """Describe one upstream as configured.
+
+    Controllers reach it at `control_port`, 0 meaning where callers do.
+    """
 
     id: str
     service: str
     failure_domain: str
     address: str
     port: int
+    control_port: int = 0
     concurrency: int = 2
     connections: int = 120
     checks_tokens: bool = True
@@ -65,6 +69,11 @@
         """The start of every URL on this upstream."""
         return f'http://{self.address}:{self.port}'
 
+    @property
+    def control_url(self) -> str:
+        """The start of every URL that controllers use."""
+        return f'http://{self.address}:{self.control_port or self.port}'
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FailureDomain:
--- a/src/lentilgauge/services/configuration.py
+++ b/src/lentilgauge/services/configuration.py
@@ -48,6 +48,9 @@
     failure_domain: settings.Name
     address: pydantic.IPvAnyAddress
     port: settings.Port
+    control_port: Annotated[
+        int, pydantic.Field(ge=0, le=settings.LAST_PORT)
+    ] = 0
     concurrency: Positive = 2
     connections: Positive = 120
     checks_tokens: bool = True
@@ -134,6 +137,7 @@
         failure_domain=model.failure_domain,
         address=str(model.address),
         port=model.port,
+        control_port=model.control_port,
         concurrency=model.concurrency,
         connections=model.connections,
         checks_tokens=model.checks_tokens,
--- a/src/lentilgauge/settings.py
+++ b/src/lentilgauge/settings.py
@@ -10,10 +10,10 @@
 
 from lentilgauge import errors
 
-_LAST_PORT = 65_535
+LAST_PORT = 65_535
 _DAY_MS = 86_400_000
 
-Port = Annotated[int, pydantic.Field(ge=1, le=_LAST_PORT)]
+Port = Annotated[int, pydantic.Field(ge=1, le=LAST_PORT)]
 PositiveMs = Annotated[int, pydantic.Field(gt=0, le=_DAY_MS)]
 Name = Annotated[
     str,
@@ -61,6 +61,7 @@
     peer_heartbeat_ms: PositiveMs = 200
     peer_timeout_ms: PositiveMs = 700
     confirm_ms: PositiveMs = 1000
+    vm_list_ms: PositiveMs = 1000
     confirm_grace_ms: PositiveMs = 2000
     vouch_ms: PositiveMs = 2000
     clock_drift_per_mille: Annotated[int, pydantic.Field(ge=0, le=100)] = 2
--- a/src/lentilgauge/standins/command_line.py
+++ b/src/lentilgauge/standins/command_line.py
@@ -4,6 +4,7 @@
 
 from lentilgauge import programs
 from lentilgauge.standins import (
+    fault_proxy,
     pass_through,
     platform_server,
     upstream,
@@ -71,6 +72,29 @@
     asyncio.run(_run_upstream(shape, port, int(more.get('seed', 1)), journal))
 
 
+async def _run_proxy(
+    proxy: fault_proxy.Proxy,
+    port: int,
+    control_port: int,
+) -> None:
+    await fault_proxy.start_proxy(
+        proxy,
+        address=_LOOPBACK,
+        port=port,
+        control_port=control_port,
+    )
+    await _wait_until_stopped('proxy')
+
+
+def run_proxy(*, target_port: int, port: int, control_port: int) -> None:
+    """Run a proxy that injects faults on the way to one port."""
+    proxy = fault_proxy.Proxy(
+        target_address=_LOOPBACK,
+        target_port=target_port,
+    )
+    asyncio.run(_run_proxy(proxy, port, control_port))
+
+
 async def _run_pass_through(target: str, port: int) -> None:
     pass_through.start_pass_through(
         address=_LOOPBACK,
@@ -91,6 +115,7 @@
         {
             'platform': run_platform,
             'upstream': run_upstream,
+            'proxy': run_proxy,
             'pass-through': run_pass_through,
         }
     )
--- a/src/lentilgauge/vms/controller_main.py
+++ b/src/lentilgauge/vms/controller_main.py
@@ -15,6 +15,7 @@
     process,
     renewals,
     terms,
+    vm_list,
     witnesses,
 )
 
@@ -60,6 +61,7 @@
                 loaded.platform.watch_ms,
             ),
             peer_relay.follow_peers(controller),
+            vm_list.follow_vm_list(controller),
             membership.keep_announced(controller),
             membership.watch_peers(controller),
             terms.divide_upstreams(controller),
--- a/src/lentilgauge/vms/membership.py
+++ b/src/lentilgauge/vms/membership.py
@@ -72,8 +72,9 @@
 
 async def keep_announced(controller: controller_module.Controller) -> None:
     """Announce this VM, and again whenever others took it for lost."""
-    while not controller.leaving:
-        await announce_if_needed(controller)
+    while True:
+        if not controller.leaving:
+            await announce_if_needed(controller)
         await controller_module.wait_for_change(
             controller,
             controller.section.confirm_ms,
