--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -112,8 +112,10 @@
             kind=errors.ErrorKind.HEADERS_TOO_LARGE,
             detail=f'the headers are over {limit} bytes',
         )
-    length = headers.get('Content-Length')
-    if length is not None and int(length) > entry.section.body_limit_bytes:
+    length = headers.get('Content-Length', '')
+    # Any other text is ambiguous framing, which the HTTP library refuses.
+    plain = length.isascii() and length.isdigit()
+    if plain and int(length) > entry.section.body_limit_bytes:
         return _make_body_failure(entry)
     return None
 
--- a/src/lentilgauge/standins/upstream_server.py
+++ b/src/lentilgauge/standins/upstream_server.py
@@ -152,6 +152,7 @@
         'request_id': work.request_id,
         'path': work.path,
         'echo': received.body.decode('utf-8', 'replace'),
+        'headers': sorted(received.headers),
     }
     return json.dumps(answer).encode()
 
