Take a term again that was won unnoticed

Ruled out: a second owner; the fault cost service, not exclusivity. Change: a controller counts a term as held only with its lease at hand, and opens another otherwise. Stepping down from a term is remembered, so that a takeover whose answer is late grants nothing; a lease that follows another keeps account of what was granted before it. Before: the slots of that upstream stayed unserved. After: served in the test that loses the answer of every write during a takeover.

--- a/src/lentilgauge/vms/controller.py
+++ b/src/lentilgauge/vms/controller.py
@@ -20,6 +20,7 @@
 
     `peer_deadline_by_id` holds when each watched peer counts as lost unless
     it answers before; `lessor_by_upstream` the leases this VM grants;
+    in no term up to `stepped_down_by_upstream` does it grant any more;
     `majority_ms` when most other VMs last said they know nothing newer.
     """
 
@@ -39,6 +40,9 @@
     peer_deadline_by_id: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
+    stepped_down_by_upstream: dict[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
     first_placement_deadline_by_service: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
--- a/src/lentilgauge/vms/renewals.py
+++ b/src/lentilgauge/vms/renewals.py
@@ -126,7 +126,7 @@
     upstream_id: str,
 ) -> None:
     """Keep one upstream's lease for as long as this VM holds its term."""
-    while terms.holds_term(controller, upstream_id):
+    while terms.find_held(controller, upstream_id) is not None:
         upstream = controller.replica.config.upstream_by_id.get(upstream_id)
         if upstream is None:
             break
@@ -140,7 +140,9 @@
     upstream: catalog.Upstream,
 ) -> None:
     """Exchange a grant where it is time to, and settle what follows."""
-    held = controller.lessor_by_upstream[upstream.id]
+    held = terms.find_held(controller, upstream.id)
+    if held is None:
+        return
     if _needs_exchange(controller, held, upstream):
         held.renewal_deadline_ms = (
             controller.now_ms() + controller.section.heartbeat_ms
--- a/src/lentilgauge/vms/settlement.py
+++ b/src/lentilgauge/vms/settlement.py
@@ -112,13 +112,16 @@
     """Stop granting in a term and say when its last grant lapses."""
     upstream_id = request.path.removeprefix(STEP_DOWN_PATH)
     old = state_messages.EarlierTerm.model_validate_json(request.body)
-    mine = controller.lessor_by_upstream.get(upstream_id)
     asked = (old.controller, old.incarnation)
     if asked != (controller.vm_id, controller.incarnation):
         return http_server.respond(StepDownMessage(lapse_in_ms=None))
-    if mine is None or mine.term != old.term:
-        return http_server.respond(StepDownMessage(lapse_in_ms=None))
-    if not mine.stepped_down:
+    known = controller.stepped_down_by_upstream.get(upstream_id, 0)
+    controller.stepped_down_by_upstream[upstream_id] = max(known, old.term)
+    mine = controller.lessor_by_upstream.get(upstream_id)
+    if mine is None:
+        # What it granted is forgotten only once that has lapsed.
+        return http_server.respond(StepDownMessage(lapse_in_ms=0))
+    if mine.term <= old.term and not mine.stepped_down:
         mine.stepped_down = True
         logs.log_change('stepped down', upstream=upstream_id, term=old.term)
     lapse_ms = max(mine.granted_deadline_ms, mine.lapse_deadline_ms or 0)
--- a/src/lentilgauge/vms/terms.py
+++ b/src/lentilgauge/vms/terms.py
@@ -41,6 +41,22 @@
     )
 
 
+def find_held(
+    controller: controller_module.Controller,
+    upstream_id: str,
+) -> lessor.Lessor | None:
+    """Find the lease that this controller grants in the latest term.
+
+    Where a write's answer was lost, the platform can have given us a term
+    that we know nothing of: then another has to be opened.
+    """
+    body = controller.replica.term_by_upstream.get(upstream_id)
+    held = controller.lessor_by_upstream.get(upstream_id)
+    if body is None or held is None or body.term != held.term:
+        return None
+    return held if holds_term(controller, upstream_id) else None
+
+
 def list_missing_terms(controller: controller_module.Controller) -> list[str]:
     """List the upstreams whose lease this controller should grant."""
     domain_by_vm = membership.list_live_domains(controller)
@@ -49,7 +65,7 @@
     return [
         upstream.id
         for upstream in controller.replica.config.upstream_by_id.values()
-        if not holds_term(controller, upstream.id)
+        if find_held(controller, upstream.id) is None
         and placement.choose_controller(
             upstream.id,
             upstream.failure_domain,
@@ -94,15 +110,18 @@
         _name(upstream_id),
         body,
     )
-    if not isinstance(written, result.Success):
+    stepped_down = controller.stepped_down_by_upstream.get(upstream_id, 0)
+    if not isinstance(written, result.Success) or body.term <= stepped_down:
         return
     now_ms = controller.now_ms()
+    before = controller.lessor_by_upstream.get(upstream_id)
     taken = lessor.Lessor(
         upstream_id=upstream_id,
         term=body.term,
         lapse_deadline_ms=None if body.unsettled else now_ms,
         settled_ms=None if body.unsettled else now_ms,
         opened_ms=now_ms,
+        granted_deadline_ms=0 if before is None else before.granted_deadline_ms,
     )
     _adopt_witnesses(taken, body)
     controller.lessor_by_upstream[upstream_id] = taken
@@ -159,7 +178,7 @@
     now_ms = controller.now_ms()
     for upstream_id, held in list(controller.lessor_by_upstream.items()):
         lapsed = now_ms >= held.granted_deadline_ms
-        if lapsed and not holds_term(controller, upstream_id):
+        if lapsed and find_held(controller, upstream_id) is None:
             controller.lessor_by_upstream.pop(upstream_id)
 
 
@@ -171,7 +190,8 @@
     held = [
         one
         for one in list(controller.lessor_by_upstream.values())
-        if holds_term(controller, one.upstream_id) and not one.stepped_down
+        if find_held(controller, one.upstream_id) is one
+        and not one.stepped_down
     ]
     await asyncio.gather(
         *(
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -130,6 +130,19 @@
     """Explore the model from a fixed seed."""
 
 
+async def lose_the_answers_of_takeovers() -> world_module.World:
+    """Lose the answer of every write while the terms change hands."""
+    made = await start_world()
+    lost = made.controllers.pop(0)
+    made.network.routes_by_name.pop(lost.vm_id)
+    for _ in range(40):
+        made.network.lose_answers.add(world_module.PLATFORM)
+        await made.tick_all()
+    made.network.lose_answers.clear()
+    await made.tick_all(30)
+    return made
+
+
 async def delay_a_renewal() -> list[str]:
     """Hold a renewal until its upstream's slots have gone to others."""
     made = await start_world()
@@ -220,6 +233,12 @@
             self.assertEqual(made.count_served(), world_module.SLOTS)
         made.close()
 
+    async def test_a_term_won_unnoticed_is_not_left_alone(self) -> None:
+        made = await lose_the_answers_of_takeovers()
+        self.assertEqual(made.count_served(), world_module.SLOTS)
+        self.assertEqual(made.find_double(), [])
+        made.close()
+
     async def test_a_lost_upstream_is_served_by_others_again(self) -> None:
         made = await start_world()
         made.network.routes_by_name.pop(world_module.name_upstream(1))
--- a/tests/world.py
+++ b/tests/world.py
@@ -279,7 +279,7 @@
         held = [
             made.replica.config.upstream_by_id[name]
             for name in list(made.lessor_by_upstream)
-            if terms.holds_term(made, name)
+            if terms.find_held(made, name) is not None
             and SERVICE in made.replica.slot_map_by_service
         ]
         return [
