Reload settings, report burn, and write the first pages

Cause: a change of limits needed a restart, nothing showed how the service level burns, and the design stood nowhere. Change: SIGHUP reloads what can be reloaded and names what can't; a report of burn rates, worst window and weighted availability from a run's results; pages on design, ownership, callers, operators, developers and the glossary; an example that embeds lease and placement. Leases are shorter: 1200 ms renewed every 250 ms, peers count as lost after 500 ms. Before: a killed server's keys went unserved for 1822 to 2900 ms on a busy machine, 1469 and 1525 ms on a quiet one, with leases of 1500 ms. Conclusion: the bound of 2 s needs the shorter lease.

--- a/Makefile
+++ b/Makefile
@@ -17,9 +17,9 @@
 	$(VENV)/bin/python -W error::ResourceWarning -m tests
 
 lint: $(STAMP)
-	$(VENV)/bin/ruff format --check src tests
-	$(VENV)/bin/ruff check src tests
-	$(VENV)/bin/flake8 src tests
+	$(VENV)/bin/ruff format --check src tests examples
+	$(VENV)/bin/ruff check src tests examples
+	$(VENV)/bin/flake8 src tests examples
 	$(VENV)/bin/mypy
 
 demo: $(STAMP)
--- a/src/lentilgauge/load/cluster.py
+++ b/src/lentilgauge/load/cluster.py
@@ -177,7 +177,11 @@
             for upstream in cluster.shape.upstreams
         ),
         *(start_controller(cluster, vm) for vm in cluster.shape.vms),
-        *(start_entry(cluster, vm) for vm in cluster.shape.vms),
+        *(
+            start_entry(cluster, vm)
+            for vm in cluster.shape.vms
+            if cluster.shape.entries
+        ),
     )
 
 
--- a/src/lentilgauge/load/command_line.py
+++ b/src/lentilgauge/load/command_line.py
@@ -1,7 +1,7 @@
 """Run `lentilgauge-load`."""
 
 from lentilgauge import programs
-from lentilgauge.load import closed_loop, demo, entry_bench
+from lentilgauge.load import closed_loop, demo, entry_bench, ownership_bench
 
 
 def main() -> None:
@@ -10,6 +10,7 @@
         {
             'demo': demo.run_demo,
             'bench-entry': entry_bench.run_entry_bench,
+            'bench-ownership': ownership_bench.run_ownership_bench,
             'closed-loop': closed_loop.run_closed_loop,
         }
     )
--- a/src/lentilgauge/load/demo.py
+++ b/src/lentilgauge/load/demo.py
@@ -1,6 +1,7 @@
 """Show the system's main job in one command."""
 
 import asyncio
+import pathlib
 import sys
 import types
 
@@ -8,6 +9,7 @@
     cluster,
     experiment,
     observer,
+    results,
     schedule,
     topology,
     users,
@@ -125,7 +127,7 @@
     )
 
 
-async def _run() -> bool:
+async def _run(results_file: str) -> bool:
     shape = users.make_venture(vms=3, keyed=6, pooled=2, slots=_SLOTS)
     experiment.say('starting stand-ins, 3 controllers and 3 entries')
     outcome = await experiment.run_experiment(
@@ -134,12 +136,14 @@
         list_events(),
         'demo',
     )
+    if results_file:
+        results.write_results(pathlib.Path(results_file), outcome.taken)
     experiment.say('')
     experiment.say(experiment.render_outcome(outcome))
     return experiment.is_sound(outcome)
 
 
-def run_demo() -> None:
+def run_demo(results_file: str = '') -> None:
     """Run the demonstration; exit with 1 if a promise was broken."""
-    if not asyncio.run(_run()):
+    if not asyncio.run(_run(results_file)):
         sys.exit(1)
--- a/src/lentilgauge/load/experiment.py
+++ b/src/lentilgauge/load/experiment.py
@@ -75,7 +75,8 @@
             vm,
             len(shape.upstreams),
         )
-        await observer.wait_until_ready(stage.cluster, stage.client, vm)
+        if shape.entries:
+            await observer.wait_until_ready(stage.cluster, stage.client, vm)
 
 
 async def _run_events(
--- a/src/lentilgauge/load/observer.py
+++ b/src/lentilgauge/load/observer.py
@@ -8,7 +8,7 @@
 from returns import result
 from tornado import httpclient
 
-from lentilgauge import clock
+from lentilgauge import clock, metrics
 from lentilgauge.links import http_client, operator_link
 from lentilgauge.load import cluster as cluster_module
 from lentilgauge.load import topology
@@ -54,6 +54,20 @@
     )
 
 
+async def get_metrics(
+    cluster: cluster_module.Cluster,
+    client: httpclient.AsyncHTTPClient,
+    vm: topology.Vm,
+) -> operator_link.AnswerResult[metrics.MetricsMessage]:
+    """Read a controller's metrics."""
+    return await ask(
+        client,
+        cluster.get_url(topology.name_controller(vm)),
+        operator_link.Question(method='GET', path='/metrics?format=json'),
+        metrics.MetricsMessage,
+    )
+
+
 def is_settled(message: status.StatusMessage) -> bool:
     """Tell whether every slot is owned and none moves."""
     return all(
--- a/src/lentilgauge/load/topology.py
+++ b/src/lentilgauge/load/topology.py
@@ -72,6 +72,7 @@
     upstreams: tuple[Upstream, ...]
     options: Sections = dataclasses.field(default_factory=dict)
     proxied: tuple[str, ...] = ()
+    entries: bool = True
 
 
 def name_proxy(target: str) -> str:
--- /dev/null
+++ b/src/lentilgauge/report/__init__.py
@@ -0,0 +1,1 @@
+"""Report how the service level burns."""
--- a/src/lentilgauge/settings.py
+++ b/src/lentilgauge/settings.py
@@ -55,11 +55,11 @@
     """Set a controller's port and its intervals."""
 
     port: Port
-    lease_ms: PositiveMs = 1500
-    heartbeat_ms: PositiveMs = 300
-    call_timeout_ms: PositiveMs = 250
+    lease_ms: PositiveMs = 1200
+    heartbeat_ms: PositiveMs = 250
+    call_timeout_ms: PositiveMs = 200
     peer_heartbeat_ms: PositiveMs = 200
-    peer_timeout_ms: PositiveMs = 700
+    peer_timeout_ms: PositiveMs = 500
     confirm_ms: PositiveMs = 1000
     vm_list_ms: PositiveMs = 1000
     confirm_grace_ms: PositiveMs = 2000
--- a/src/lentilgauge/vms/controller_main.py
+++ b/src/lentilgauge/vms/controller_main.py
@@ -13,6 +13,7 @@
     planner,
     platform_watch,
     process,
+    reload,
     renewals,
     terms,
     vm_list,
@@ -41,7 +42,10 @@
     )
 
 
-async def run_controller(loaded: settings.ControllerFile) -> None:
+async def run_controller(
+    loaded: settings.ControllerFile,
+    path: str,
+) -> None:
     """Run a controller until it is told to stop."""
     controller = controller_module.make_controller(loaded)
     http_server.start_server(
@@ -53,6 +57,18 @@
         address=str(loaded.vm.address),
         port=loaded.controller.port,
     )
+
+    def adopt(reloaded: settings.ControllerFile) -> tuple[str, ...]:
+        merged = reload.merge_section(
+            controller.section,
+            reloaded.controller,
+            reload.FIXED_CONTROLLER,
+        )
+        controller.section = merged.section
+        logs.set_up_logs(reloaded.log)
+        return merged.refused
+
+    reload.reload_on_hangup(path, settings.ControllerFile, adopt)
     process.report_ready('controller')
     await process.run_until_stopped(
         [
@@ -82,7 +98,7 @@
         sys.stdout.write(f'{settings_file}: no fault found\n')
         return
     logs.set_up_logs(loaded.log)
-    asyncio.run(run_controller(loaded))
+    asyncio.run(run_controller(loaded, settings_file))
 
 
 def main() -> None:
--- a/src/lentilgauge/vms/entry_main.py
+++ b/src/lentilgauge/vms/entry_main.py
@@ -8,7 +8,7 @@
 from lentilgauge.links import http_server
 from lentilgauge.operators import endpoint
 from lentilgauge.vms import entry as entry_module
-from lentilgauge.vms import entry_feed, process
+from lentilgauge.vms import entry_feed, process, reload
 
 
 async def _wait_until_idle(entry: entry_module.Entry, wait_ms: int) -> None:
@@ -18,7 +18,22 @@
         logs.log_change('requests are cut off', in_flight=entry.in_flight)
 
 
-async def run_entry(loaded: settings.EntryFile) -> None:
+def _adopt(
+    entry: entry_module.Entry,
+    reloaded: settings.EntryFile,
+) -> tuple[str, ...]:
+    """Take reloaded settings on; return what needs a restart."""
+    merged = reload.merge_section(
+        entry.section,
+        reloaded.entry,
+        reload.FIXED_ENTRY,
+    )
+    entry.section = merged.section
+    logs.set_up_logs(reloaded.log)
+    return merged.refused
+
+
+async def run_entry(loaded: settings.EntryFile, path: str) -> None:
     """Run an entry until it is told to stop."""
     entry = entry_module.make_entry(loaded)
     address = str(loaded.vm.address)
@@ -36,12 +51,17 @@
         # The balancer sees that we are not ready and sends no more; until
         # it does, whoever still comes is served and told to close.
         entry.leaving = True
-        section = loaded.entry
+        section = entry.section
         await asyncio.sleep(clock.to_seconds(section.stop_notice_ms))
         callers.stop()
         await _wait_until_idle(entry, section.stop_grace_ms)
         await callers.close_all_connections()
 
+    reload.reload_on_hangup(
+        path,
+        settings.EntryFile,
+        lambda reloaded: _adopt(entry, reloaded),
+    )
     process.report_ready('entry')
     await process.run_until_stopped(
         [entry_feed.follow_controller(entry, loaded.controller)],
@@ -56,7 +76,7 @@
         sys.stdout.write(f'{settings_file}: no fault found\n')
         return
     logs.set_up_logs(loaded.log)
-    asyncio.run(run_entry(loaded))
+    asyncio.run(run_entry(loaded, settings_file))
 
 
 def main() -> None:
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -1,15 +1,19 @@
 """Run real processes for tests."""
 
+import asyncio
 import contextlib
 import pathlib
 import tempfile
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 
 from tornado import httpclient, httputil
 
 from lentilgauge.links import http_client
 from lentilgauge.load import cluster, observer, topology
 
+_TRIES = 400
+_STEP_SECONDS = 0.05
+
 
 class System:
     """Hold a running system under test and a client for it."""
@@ -59,6 +63,15 @@
         await observer.wait_until_ready(running, system.client, vm)
 
 
+async def wait_for(condition: Callable[[], bool]) -> None:
+    """Wait until a condition is met."""
+    for _ in range(_TRIES):
+        if condition():
+            return
+        await asyncio.sleep(_STEP_SECONDS)
+    raise AssertionError('the condition was never met')
+
+
 @contextlib.asynccontextmanager
 async def run_system(shape: topology.Topology) -> AsyncGenerator[System]:
     """Run a configured system until the block ends."""
