Spend less on control at rest, and start a service evenly

Counters showed 30 grants a second instead of 10 while slots moved, a renewal loop that woke 20 times a second, witnesses asked without need, and a first placement on whichever upstream came first: epochs were counted where nothing had been placed. Ruled out: stray processes, the platform, crashed jobs. Change: renewal loops sleep until something is due, the planner until something changes; two watchers a VM; watches and grace are set so that an idle system needs no witness, and settings that would need one are refused. The first placement looks at the slots' own epochs. Servers that do not check tokens are waited out, and entries refuse to send them what has moved.

--- a/src/lentilgauge/callers/dispatch.py
+++ b/src/lentilgauge/callers/dispatch.py
@@ -159,6 +159,11 @@
     left_ms = request.deadline_ms - started_ms
     if left_ms <= 0:
         return upstream_data.NotSent(failure=_TOO_SHORT)
+    if routing.find_route(entry, request) != route and (
+        not route.upstream.checks_tokens
+    ):
+        # It waited for room, and its slot has gone elsewhere meanwhile.
+        return upstream_data.NotSent(failure=_NO_OWNER)
     request.attempts += 1
     outcome = await upstream_data.send_dispatch(
         entry.client,
--- a/src/lentilgauge/callers/routing.py
+++ b/src/lentilgauge/callers/routing.py
@@ -45,7 +45,7 @@
     slot = slots.find_slot(key, service.slot_count)
     owner = slot_map.owner_by_slot[slot]
     upstream = entry.replica.config.upstream_by_id.get(owner)
-    if upstream is None:
+    if upstream is None or not _may_send(entry, upstream, slot):
         return None
     return Route(
         upstream=upstream,
@@ -53,6 +53,28 @@
     )
 
 
+def _may_send(
+    entry: entry_module.Entry,
+    upstream: catalog.Upstream,
+    slot: int,
+) -> bool:
+    """Tell whether an upstream that checks nothing may be sent a slot's work.
+
+    One that checks tokens refuses by itself what it doesn't own any more.
+    """
+    if upstream.checks_tokens:
+        return True
+    if not entry_module.is_fresh(entry):
+        return False
+    slot_map = entry.replica.slot_map_by_service[upstream.service]
+    if slot in slot_map.move_by_slot:
+        return False
+    term = entry.replica.term_by_upstream.get(upstream.id)
+    if term is None or term.released:
+        return False
+    return slot_map.lease_by_id.get(upstream.id) == term.lease
+
+
 def _choose_from_pool(
     entry: entry_module.Entry,
     service: catalog.Service,
--- a/src/lentilgauge/contracts/lessor.py
+++ b/src/lentilgauge/contracts/lessor.py
@@ -36,6 +36,9 @@
     still unaccounted for. `acked_slots` are what the upstream last accepted
     and `busy_slots` those it still runs requests of. The witnesses are those
     of the term's record, with until when each vouches, in our clock;
+    `move_deadline_by_number` and `vacate_deadline_ms` are for an upstream
+    that does not check tokens: until when entries may still send it what is
+    to go to others.
     `granted_deadline_ms` is the lapse of what we granted ourselves and
     `settled_ms` that of all earlier terms' grants. It is `ready` to grant
     once it has read the slot map anew.
@@ -43,6 +46,7 @@
 
     upstream_id: str
     term: int
+    checks_tokens: bool = True
     lapse_deadline_ms: int | None
     sequence: int = 0
     echo: Echo | None = None
@@ -50,6 +54,10 @@
     acked_slots: tuple[lease.SlotGrant, ...] | None = None
     busy_slots: frozenset[int] = frozenset()
     renewal_deadline_ms: int = 0
+    move_deadline_by_number: dict[int, int] = dataclasses.field(
+        default_factory=dict,
+    )
+    vacate_deadline_ms: int | None = None
     opened_ms: int = 0
     granted_deadline_ms: int = 0
     stepped_down: bool = False
@@ -154,9 +162,12 @@
 
 
 def _note_acceptance(lessor: Lessor, terms: Terms, heard_ms: int) -> None:
-    """Account for an accepted grant: it has fenced off all earlier terms."""
+    """Account for an accepted grant.
+
+    By an upstream that checks tokens, it has fenced off all earlier terms.
+    """
     lessor.acked_slots = lessor.granted_slots
-    if lessor.lapse_deadline_ms is None:
+    if lessor.lapse_deadline_ms is None and lessor.checks_tokens:
         lessor.lapse_deadline_ms = heard_ms + stretch(terms, terms.lease_ms)
         lessor.settled_ms = heard_ms
 
--- a/src/lentilgauge/load/command_line.py
+++ b/src/lentilgauge/load/command_line.py
@@ -1,7 +1,13 @@
 """Run `lentilgauge-load`."""
 
 from lentilgauge import programs
-from lentilgauge.load import closed_loop, demo, entry_bench, ownership_bench
+from lentilgauge.load import (
+    closed_loop,
+    demo,
+    entry_bench,
+    ownership_bench,
+    placement_bench,
+)
 
 
 def main() -> None:
@@ -11,6 +17,7 @@
             'demo': demo.run_demo,
             'bench-entry': entry_bench.run_entry_bench,
             'bench-ownership': ownership_bench.run_ownership_bench,
+            'bench-placement': placement_bench.run_placement_bench,
             'closed-loop': closed_loop.run_closed_loop,
         }
     )
--- a/src/lentilgauge/operators/status.py
+++ b/src/lentilgauge/operators/status.py
@@ -18,6 +18,7 @@
     slots: int
     controller: str
     term: int
+    checks_tokens: bool
 
 
 class ServiceStatus(pydantic.BaseModel):
@@ -95,6 +96,7 @@
         slots=len(slots.list_slots(slot_map, upstream.id)),
         controller='' if term is None else term.controller,
         term=0 if term is None else term.term,
+        checks_tokens=upstream.checks_tokens,
     )
 
 
--- a/src/lentilgauge/operators/tables.py
+++ b/src/lentilgauge/operators/tables.py
@@ -6,6 +6,17 @@
 
 Row = Sequence[object]
 
+_UPSTREAM_TITLES = (
+    'UPSTREAM',
+    'SERVICE',
+    'DOMAIN',
+    'WANTED',
+    'IS',
+    'SLOTS',
+    'TERM',
+    'CHECKS TOKENS',
+)
+
 
 def render_table(titles: Sequence[str], rows: Iterable[Row]) -> str:
     """Render rows under their titles, in columns of even width."""
@@ -41,7 +52,7 @@
 
 def _render_upstreams(message: status.StatusMessage) -> str:
     return render_table(
-        ('UPSTREAM', 'SERVICE', 'DOMAIN', 'WANTED', 'IS', 'SLOTS', 'TERM'),
+        _UPSTREAM_TITLES,
         (
             (
                 upstream.id,
@@ -51,6 +62,7 @@
                 'available' if upstream.available else 'unavailable',
                 upstream.slots,
                 f'{upstream.controller}/{upstream.term}',
+                'yes' if upstream.checks_tokens else 'no: moves wait',
             )
             for upstream in message.upstreams
         ),
--- a/src/lentilgauge/settings.py
+++ b/src/lentilgauge/settings.py
@@ -12,6 +12,8 @@
 
 LAST_PORT = 65_535
 _DAY_MS = 86_400_000
+#: How many messages in a row may be lost before their loss has effect.
+_LEAST_TRIES = 3
 
 Port = Annotated[int, pydantic.Field(ge=1, le=LAST_PORT)]
 PositiveMs = Annotated[int, pydantic.Field(gt=0, le=_DAY_MS)]
@@ -48,7 +50,7 @@
     address: pydantic.IPvAnyAddress
     port: Port
     timeout_ms: PositiveMs = 1000
-    watch_ms: PositiveMs = 1000
+    watch_ms: PositiveMs = 700
 
 
 class ControllerSettings(Section):
@@ -56,15 +58,16 @@
 
     port: Port
     lease_ms: PositiveMs = 1200
-    heartbeat_ms: PositiveMs = 250
+    heartbeat_ms: PositiveMs = 300
     call_timeout_ms: PositiveMs = 200
-    peer_heartbeat_ms: PositiveMs = 200
-    peer_timeout_ms: PositiveMs = 500
+    peer_heartbeat_ms: PositiveMs = 250
+    peer_timeout_ms: PositiveMs = 600
     confirm_ms: PositiveMs = 1000
     vm_list_ms: PositiveMs = 1000
-    confirm_grace_ms: PositiveMs = 2000
+    confirm_grace_ms: PositiveMs = 2500
     vouch_ms: PositiveMs = 2000
     clock_drift_per_mille: Annotated[int, pydantic.Field(ge=0, le=100)] = 2
+    entry_freshness_ms: PositiveMs = 5000
     moves_in_flight: Annotated[int, pydantic.Field(ge=1, le=1000)] = 4
 
 
@@ -88,6 +91,20 @@
     controller: ControllerSettings
     log: LogSettings = LogSettings()
 
+    @pydantic.model_validator(mode='after')
+    def check_intervals(self) -> 'ControllerFile':
+        """Refuse intervals that would make a system at rest fail over."""
+        lengths = self.controller
+        if lengths.heartbeat_ms * _LEAST_TRIES > lengths.lease_ms:
+            raise ValueError(
+                'lease_ms must be at least three times heartbeat_ms',
+            )
+        if self.platform.watch_ms * _LEAST_TRIES > lengths.confirm_grace_ms:
+            raise ValueError(
+                'confirm_grace_ms must be at least three times watch_ms',
+            )
+        return self
+
 
 class LocalControllerSettings(Section):
     """Locate the controller on the same VM."""
--- a/src/lentilgauge/vms/lease_records.py
+++ b/src/lentilgauge/vms/lease_records.py
@@ -36,7 +36,7 @@
     known = slot_map.lease_by_id.get(upstream.id)
     if body.released:
         if known is not None:
-            await _vacate(controller, upstream)
+            await _vacate_in_time(controller, held, upstream)
         elif _is_heard(controller, held):
             await _offer_lease(controller, held, body)
         return
@@ -107,6 +107,7 @@
     if await terms.write_record(controller, held, released):
         held.granted_slots = None
         held.acked_slots = None
+        held.vacate_deadline_ms = None
         logs.log_change('released a lease', upstream=held.upstream_id)
 
 
@@ -129,6 +130,45 @@
     await object_writes.change_slot_map(controller, upstream.service, add)
 
 
+def find_unchecked_wait_ms(
+    controller: controller_module.Controller,
+    upstream: catalog.Upstream,
+) -> int:
+    """Return how long entries may still send what they no longer should.
+
+    An upstream that checks tokens refuses that itself. For any other one
+    all entries must have learned of the change, or have stopped for want of
+    fresh configuration, and what they sent before must have ended.
+    """
+    if upstream.checks_tokens:
+        return 0
+    longest_ms = max(
+        (
+            kind.timeout_ms
+            for kind in controller.replica.config.kinds
+            if kind.service == upstream.service
+        ),
+        default=0,
+    )
+    span_ms = controller.section.entry_freshness_ms + longest_ms
+    return lessor.stretch(controller.terms, span_ms)
+
+
+async def _vacate_in_time(
+    controller: controller_module.Controller,
+    held: lessor.Lessor,
+    upstream: catalog.Upstream,
+) -> None:
+    """Vacate a released lease's slots once nothing can be sent there."""
+    now_ms = controller.now_ms()
+    if held.vacate_deadline_ms is None:
+        wait_ms = find_unchecked_wait_ms(controller, upstream)
+        held.vacate_deadline_ms = now_ms + wait_ms
+    if now_ms < held.vacate_deadline_ms:
+        return
+    await _vacate(controller, upstream)
+
+
 async def _vacate(
     controller: controller_module.Controller,
     upstream: catalog.Upstream,
@@ -186,6 +226,32 @@
     }
 
 
+def _list_due_moves(
+    controller: controller_module.Controller,
+    held: lessor.Lessor,
+    upstream: catalog.Upstream,
+) -> dict[int, slots.Move]:
+    """Map the slots that may now go to others to their moves."""
+    slot_map = controller.replica.slot_map_by_service[upstream.service]
+    given_up = list_given_up(held, slot_map)
+    wait_ms = find_unchecked_wait_ms(controller, upstream)
+    if not wait_ms:
+        return given_up
+    now_ms = controller.now_ms()
+    held.move_deadline_by_number = {
+        move.number: held.move_deadline_by_number.get(
+            move.number,
+            now_ms + wait_ms,
+        )
+        for move in given_up.values()
+    }
+    return {
+        slot: move
+        for slot, move in given_up.items()
+        if now_ms >= held.move_deadline_by_number[move.number]
+    }
+
+
 async def _finish_moves(
     controller: controller_module.Controller,
     held: lessor.Lessor,
@@ -193,8 +259,7 @@
 ) -> None:
     """Hand over the slots that the upstream has let go of."""
     service = upstream.service
-    slot_map = controller.replica.slot_map_by_service[service]
-    given_up = list_given_up(held, slot_map)
+    given_up = _list_due_moves(controller, held, upstream)
     if not given_up:
         return
 
--- a/src/lentilgauge/vms/membership.py
+++ b/src/lentilgauge/vms/membership.py
@@ -12,7 +12,7 @@
 
 HEARTBEAT_PATH = '/peer/heartbeat'
 #: Each VM is watched by this many others.
-WATCHERS = 3
+WATCHERS = 2
 _LIVE = state_messages.VmState.LIVE
 
 
--- a/src/lentilgauge/vms/planner.py
+++ b/src/lentilgauge/vms/planner.py
@@ -5,7 +5,7 @@
 from lentilgauge.vms import controller as controller_module
 from lentilgauge.vms import membership, object_writes
 
-_TICK_MS = 100
+_TICK_MS = 1000
 #: How long the first placement waits for all upstreams to appear.
 _FIRST_PLACEMENT_MS = 3000
 #: Planning belongs to no failure domain.
@@ -69,7 +69,7 @@
     A service starts with its upstreams appearing one by one: the first must
     not get all slots only to give most of them up again.
     """
-    if slot_map.epoch:
+    if any(slot_map.epoch_by_slot):
         return False
     deadline_ms = controller.first_placement_deadline_by_service.setdefault(
         service,
--- a/src/lentilgauge/vms/renewals.py
+++ b/src/lentilgauge/vms/renewals.py
@@ -4,14 +4,16 @@
 
 from returns import result
 
-from lentilgauge import clock
 from lentilgauge.contracts import lease, lessor
 from lentilgauge.links import state_messages, upstream_control
 from lentilgauge.services import catalog, slots
 from lentilgauge.vms import controller as controller_module
 from lentilgauge.vms import lease_records, terms
 
-_TICK_MS = 50
+#: How soon to look again while an upstream still runs a moving slot.
+_MOVE_TICK_MS = 20
+#: How often to look for leases that have no loop yet.
+_LEASES_TICK_MS = 200
 
 
 def list_wanted(
@@ -121,6 +123,28 @@
     return held.granted_slots != list_wanted(slot_map, held.upstream_id)
 
 
+def find_wait_ms(
+    controller: controller_module.Controller,
+    upstream_id: str,
+) -> int:
+    """Return how long nothing needs doing for a lease unless news comes."""
+    held = controller.lessor_by_upstream.get(upstream_id)
+    if held is None:
+        return _MOVE_TICK_MS
+    now_ms = controller.now_ms()
+    due_ms = [held.renewal_deadline_ms, held.vacate_deadline_ms]
+    if held.lapse_deadline_ms is not None:
+        due_ms.append(held.lapse_deadline_ms)
+    if held.acked_slots is None or held.busy_slots:
+        due_ms.append(now_ms + _MOVE_TICK_MS)
+    ahead_ms = [
+        moment_ms - now_ms
+        for moment_ms in due_ms
+        if moment_ms is not None and moment_ms > now_ms
+    ]
+    return max(1, min(ahead_ms, default=_MOVE_TICK_MS))
+
+
 async def keep_lease(
     controller: controller_module.Controller,
     upstream_id: str,
@@ -132,7 +156,10 @@
             break
         if upstream.service in controller.replica.slot_map_by_service:
             await keep_once(controller, upstream)
-        await controller_module.wait_for_change(controller, _TICK_MS)
+        await controller_module.wait_for_change(
+            controller,
+            find_wait_ms(controller, upstream_id),
+        )
 
 
 async def keep_once(
@@ -164,4 +191,4 @@
                 task_by_upstream[upstream_id] = asyncio.ensure_future(
                     keep_lease(controller, upstream_id),
                 )
-        await asyncio.sleep(clock.to_seconds(_TICK_MS))
+        await controller_module.wait_for_change(controller, _LEASES_TICK_MS)
--- a/src/lentilgauge/vms/terms.py
+++ b/src/lentilgauge/vms/terms.py
@@ -12,7 +12,7 @@
 from lentilgauge.vms import membership, object_writes, settlement, witnesses
 
 _TICK_MS = 500
-_SETTLE_TICK_MS = 200
+_SETTLE_TICK_MS = 300
 
 
 #: What stands before an upstream's first term.
@@ -118,6 +118,7 @@
     taken = lessor.Lessor(
         upstream_id=upstream_id,
         term=body.term,
+        checks_tokens=_checks_tokens(controller, upstream_id),
         lapse_deadline_ms=None if body.unsettled else now_ms,
         settled_ms=None if body.unsettled else now_ms,
         opened_ms=now_ms,
@@ -144,6 +145,14 @@
     )
 
 
+def _checks_tokens(
+    controller: controller_module.Controller,
+    upstream_id: str,
+) -> bool:
+    upstream = controller.replica.config.upstream_by_id.get(upstream_id)
+    return upstream is not None and upstream.checks_tokens
+
+
 def _adopt_witnesses(
     held: lessor.Lessor,
     body: state_messages.TermBody,
--- a/src/lentilgauge/vms/witnesses.py
+++ b/src/lentilgauge/vms/witnesses.py
@@ -15,6 +15,8 @@
 NAMED = 3
 _PER_MILLE = 1000
 _ASKS_PER_VOUCH = 4
+#: The part of the grace after which witnesses are asked in advance.
+_LATE_SHARE = 0.75
 
 
 def choose_witnesses(
@@ -135,8 +137,11 @@
     """Ask the witnesses for as long as the platform confirms nothing."""
     while True:
         age_ms = controller_module.get_confirmed_age_ms(controller)
-        half_ms = controller.section.confirm_grace_ms // 2
-        if age_ms is not None and age_ms >= half_ms:
+        # An idle watch confirms once in its waiting time, well before this.
+        late_ms = int(
+            controller.section.confirm_grace_ms * _LATE_SHARE,
+        )
+        if age_ms is not None and age_ms >= late_ms:
             await ask_witnesses(controller)
         await asyncio.sleep(
             clock.to_seconds(controller.section.vouch_ms / _ASKS_PER_VOUCH),
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -223,6 +223,18 @@
             self.assertEqual(made.count_served(), world_module.SLOTS)
         made.close()
 
+    async def test_a_new_service_starts_even_and_moves_nothing(self) -> None:
+        made = await start_world()
+        body = made.store.by_name['assignment/cases'].body
+        # One placement gives every slot its first and only epoch.
+        self.assertEqual(len(set(body['epoch_by_slot'])), 1)
+        counts = [
+            body['owner_index_by_slot'].count(index)
+            for index in range(UPSTREAMS)
+        ]
+        self.assertEqual(sorted(counts), [1, 1, 2])
+        made.close()
+
     async def test_a_lost_controller_costs_no_service(self) -> None:
         made = await start_world()
         lost = made.controllers[0]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -84,6 +84,20 @@
                 self.assertEqual(failure.kind, errors.ErrorKind.BAD_SETTINGS)
                 self.assertIn(named, failure.detail)
 
+    def test_intervals_that_would_fail_over_at_rest_are_refused(self) -> None:
+        path = pathlib.Path('examples/settings/controller.ini')
+        good = settings.read_sections(path).unwrap()
+        for changed in (
+            {'heartbeat_ms': '500', 'lease_ms': '1200'},
+            {'confirm_grace_ms': '1500'},
+        ):
+            sections = {
+                **good,
+                'controller': {**good['controller'], **changed},
+            }
+            read = settings.validate(path, settings.ControllerFile, sections)
+            self.assertIn('three times', read.failure().detail)
+
     def test_a_missing_file_is_named(self) -> None:
         read = settings.read_settings(
             pathlib.Path('/nowhere/entry.ini'),
