Run a repeated request at most once, and pass on every object

Cause: a caller's retry with the same Idempotency-Key at another entry ran again. A controller that learned of a newer object by its own write passed its revision on, and the entry never asked for the older object that the controller's watch brought a moment later. Ruled out: timeouts at the keepers, the kill itself, the registry. Change: two VMs keep each key, answers are repeated, other content is refused. Followers of a controller mark how far they are by its own serials, not by revisions. Servers that check nothing have a test: cut from controllers, still reached by entries, no slot has two owners.

--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -10,7 +10,7 @@
 from tornado import httpserver, httputil, netutil
 
 from lentilgauge import clock, errors, metrics
-from lentilgauge.callers import dispatch, kinds
+from lentilgauge.callers import kinds, repetition
 from lentilgauge.callers import request as request_module
 from lentilgauge.links import http_server, upstream_data
 from lentilgauge.vms import entry as entry_module
@@ -220,7 +220,7 @@
         answer_failure(exchange, read.failure())
         return
     request = read.unwrap()
-    served = await dispatch.serve(exchange.entry, request)
+    served = await repetition.serve_once(exchange.entry, request)
     if isinstance(served, result.Success):
         answer_executed(exchange, request, served.unwrap())
         return
--- a/src/lentilgauge/errors.py
+++ b/src/lentilgauge/errors.py
@@ -27,6 +27,7 @@
     DEADLINE_TOO_SHORT = 'deadline_too_short'
     CONFIGURATION_STALE = 'configuration_stale'
     LEAVING = 'leaving'
+    STILL_RUNNING = 'still_running'
     KEY_REUSED = 'idempotency_key_reused'
     UPSTREAM_REFUSED = 'upstream_refused'
     UPSTREAM_UNREACHABLE = 'upstream_unreachable'
@@ -99,6 +100,11 @@
         ErrorKind.LEAVING: _refused_for_now(
             http.HTTPStatus.SERVICE_UNAVAILABLE
         ),
+        ErrorKind.STILL_RUNNING: Answer(
+            status=http.HTTPStatus.CONFLICT,
+            ran=Ran.UNKNOWN,
+            retry_after=True,
+        ),
         ErrorKind.KEY_REUSED: _refused(http.HTTPStatus.UNPROCESSABLE_ENTITY),
         ErrorKind.UPSTREAM_REFUSED: _refused_for_now(
             http.HTTPStatus.SERVICE_UNAVAILABLE,
--- /dev/null
+++ b/src/lentilgauge/links/once_link.py
@@ -0,0 +1,120 @@
+"""Ask the VMs that keep an idempotency key about it."""
+
+import base64
+
+import pydantic
+from returns import result
+from tornado import httpclient
+
+from lentilgauge.contracts import once
+from lentilgauge.links import http_client
+
+BEGIN_PATH = '/peer/once/begin'
+END_PATH = '/peer/once/end'
+_TIMEOUT_MS = 300
+
+
+class BeginMessage(pydantic.BaseModel):
+    """Ask to reserve a key."""
+
+    key: str
+    digest: str
+    run_ms: int
+    keep_ms: int
+
+
+class KnownMessage(pydantic.BaseModel):
+    """Carry what is known of a key; the body is in base 64."""
+
+    state: once.State
+    status: int = 0
+    content_type: str = ''
+    body: str = ''
+
+
+class EndMessage(pydantic.BaseModel):
+    """Say how the request under a key ended."""
+
+    key: str
+    known: KnownMessage
+
+
+KnownResult = result.Result[once.Known, http_client.LinkFailure]
+
+
+def pack_known(known: once.Known) -> KnownMessage:
+    """Pack what is known of a key."""
+    answer = known.answer
+    if answer is None:
+        return KnownMessage(state=known.state)
+    return KnownMessage(
+        state=known.state,
+        status=answer.status,
+        content_type=answer.content_type,
+        body=base64.b64encode(answer.body).decode('ascii'),
+    )
+
+
+def unpack_known(message: KnownMessage) -> once.Known:
+    """Unpack what is known of a key."""
+    if not message.status:
+        return once.Known(state=message.state)
+    return once.Known(
+        state=message.state,
+        answer=once.KeptAnswer(
+            status=message.status,
+            content_type=message.content_type,
+            body=base64.b64decode(message.body),
+        ),
+    )
+
+
+async def ask_to_begin(
+    client: httpclient.AsyncHTTPClient,
+    base_url: str,
+    asked: once.Beginning,
+) -> KnownResult:
+    """Ask one VM to reserve a key."""
+    message = BeginMessage(
+        key=asked.key,
+        digest=asked.digest,
+        run_ms=asked.run_ms,
+        keep_ms=asked.keep_ms,
+    )
+    sent = await _post(client, f'{base_url}{BEGIN_PATH}', message)
+    return sent.bind(_parse_known)
+
+
+def _parse_known(reply: http_client.Reply) -> KnownResult:
+    try:
+        message = KnownMessage.model_validate_json(reply.body)
+    except pydantic.ValidationError:
+        return result.Failure(http_client.LinkFailure.INVALID)
+    return result.Success(unpack_known(message))
+
+
+async def tell_end(
+    client: httpclient.AsyncHTTPClient,
+    base_url: str,
+    key: str,
+    known: once.Known,
+) -> None:
+    """Tell one VM how a request ended."""
+    message = EndMessage(key=key, known=pack_known(known))
+    await _post(client, f'{base_url}{END_PATH}', message)
+
+
+async def _post(
+    client: httpclient.AsyncHTTPClient,
+    url: str,
+    message: pydantic.BaseModel,
+) -> http_client.CallResult:
+    return await http_client.send_call(
+        client,
+        http_client.Call(
+            method='POST',
+            url=url,
+            timeout_ms=_TIMEOUT_MS,
+            body=message.model_dump_json().encode(),
+        ),
+    )
--- a/src/lentilgauge/links/relay.py
+++ b/src/lentilgauge/links/relay.py
@@ -11,15 +11,30 @@
 CHANGES_PATH = '/changes'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mark:
+    """Remember how far one source was followed.
+
+    Serials are a source's own: another incarnation starts anew.
+    """
+
+    source: str
+    serial: int
+
+
+NO_MARK = Mark('', 0)
+
+
 class RelayMessage(pydantic.BaseModel):
-    """Carry what changed after a revision and how well that is confirmed.
+    """Carry what changed after a mark and how well that is confirmed.
 
     `confirmed_age_ms` is how long ago the platform confirmed that there was
     nothing newer; `fresh_age_ms` is the same, but most VMs' word counts too.
     Both are `None` where that never happened.
     """
 
-    revision: int
+    source: str
+    serial: int
     confirmed_age_ms: int | None
     fresh_age_ms: int | None
     changed: list[platform_messages.StoredObject]
@@ -29,7 +44,7 @@
 class Wanted:
     """Say which changes are wanted, and how long to wait for them."""
 
-    after: int
+    after: Mark
     wait_ms: int
     timeout_ms: int
 
@@ -42,14 +57,15 @@
     base_url: str,
     wanted: Wanted,
 ) -> RelayResult:
-    """Fetch the changes after a revision."""
+    """Fetch the changes after a mark."""
     sent = await http_client.send_call(
         client,
         http_client.Call(
             method='GET',
             url=(
                 f'{base_url}{CHANGES_PATH}'
-                f'?after={wanted.after}&wait_ms={wanted.wait_ms}'
+                f'?source={wanted.after.source}&after={wanted.after.serial}'
+                f'&wait_ms={wanted.wait_ms}'
             ),
             timeout_ms=wanted.timeout_ms + wanted.wait_ms,
         ),
--- a/src/lentilgauge/load/users.py
+++ b/src/lentilgauge/load/users.py
@@ -183,3 +183,14 @@
 ) -> topology.Topology:
     """Put fault-injecting proxies in front of some processes."""
     return dataclasses.replace(shape, proxied=proxied)
+
+
+def without_tokens(shape: topology.Topology) -> topology.Topology:
+    """Make every upstream one that does not check tokens."""
+    return dataclasses.replace(
+        shape,
+        upstreams=tuple(
+            dataclasses.replace(upstream, checks_tokens=False)
+            for upstream in shape.upstreams
+        ),
+    )
--- a/src/lentilgauge/operators/endpoint.py
+++ b/src/lentilgauge/operators/endpoint.py
@@ -25,6 +25,17 @@
         await controller_module.wait_for_change(controller, left_ms)
 
 
+def _read_after(
+    controller: controller_module.Controller,
+    request: http_server.Request,
+) -> int:
+    """Read after which serial of ours changes are wanted."""
+    given = request.text_by_parameter
+    if given.get('source') != controller.incarnation:
+        return 0
+    return int(given.get('after', '0'))
+
+
 def make_relay_routes(
     controller: controller_module.Controller,
 ) -> http_server.Routes:
@@ -33,16 +44,14 @@
     async def get_changes(
         request: http_server.Request,
     ) -> http_server.Response:
-        after = int(request.text_by_parameter.get('after', '0'))
+        after = _read_after(controller, request)
         wait_ms = int(request.text_by_parameter.get('wait_ms', '0'))
         await _wait_past(controller, after, wait_ms)
         changed = replica.list_changes(controller.replica, after)
         return http_server.respond(
             relay.RelayMessage(
-                revision=max(
-                    (stored.revision for stored in changed),
-                    default=after,
-                ),
+                source=controller.incarnation,
+                serial=controller.replica.serial,
                 confirmed_age_ms=controller_module.get_confirmed_age_ms(
                     controller,
                 ),
--- a/src/lentilgauge/settings.py
+++ b/src/lentilgauge/settings.py
@@ -12,11 +12,14 @@
 
 LAST_PORT = 65_535
 _DAY_MS = 86_400_000
+_LEAST_FRESHNESS_MS = 3000
 #: How many messages in a row may be lost before their loss has effect.
 _LEAST_TRIES = 3
 
 Port = Annotated[int, pydantic.Field(ge=1, le=LAST_PORT)]
 PositiveMs = Annotated[int, pydantic.Field(gt=0, le=_DAY_MS)]
+#: An entry at rest hears once a second how fresh what it knows is.
+FreshnessMs = Annotated[int, pydantic.Field(ge=_LEAST_FRESHNESS_MS, le=_DAY_MS)]
 Name = Annotated[
     str,
     pydantic.Field(pattern='^[a-z0-9][a-z0-9._-]{0,62}$'),
@@ -67,7 +70,7 @@
     confirm_grace_ms: PositiveMs = 2500
     vouch_ms: PositiveMs = 2000
     clock_drift_per_mille: Annotated[int, pydantic.Field(ge=0, le=100)] = 2
-    entry_freshness_ms: PositiveMs = 5000
+    entry_freshness_ms: FreshnessMs = 5000
     moves_in_flight: Annotated[int, pydantic.Field(ge=1, le=1000)] = 4
 
 
@@ -78,7 +81,7 @@
     admin_port: Port
     body_limit_bytes: Annotated[int, pydantic.Field(gt=0)] = 1_048_576
     header_limit_bytes: Annotated[int, pydantic.Field(gt=0)] = 16_384
-    freshness_ms: PositiveMs = 5000
+    freshness_ms: FreshnessMs = 5000
     stop_notice_ms: PositiveMs = 1000
     stop_grace_ms: PositiveMs = 10_000
 
--- a/src/lentilgauge/standins/upstream_server.py
+++ b/src/lentilgauge/standins/upstream_server.py
@@ -52,6 +52,9 @@
         message = upstream_messages.GrantMessage.model_validate_json(
             request.body,
         )
+        if not upstream.shape.checks_tokens:
+            # It takes anyone's word, and keeps no count of deadlines.
+            return http_server.respond(_make_reply(upstream, None))
         accepted = holder.accept_grant(
             upstream.held,
             upstream_messages.unpack_grant(message),
--- a/src/lentilgauge/vms/controller.py
+++ b/src/lentilgauge/vms/controller.py
@@ -7,8 +7,8 @@
 from tornado import httpclient
 
 from lentilgauge import clock, metrics, settings
-from lentilgauge.contracts import lessor, witness
-from lentilgauge.links import http_client, platform
+from lentilgauge.contracts import lessor, once, witness
+from lentilgauge.links import http_client, platform, relay
 from lentilgauge.vms import replica
 
 _INCARNATION_BYTES = 6
@@ -33,6 +33,7 @@
     now_ms: clock.Clock
     incarnation: str
     witness: witness.Witness
+    once: once.Registry
     random: random.Random
     lessor_by_upstream: dict[str, lessor.Lessor] = dataclasses.field(
         default_factory=dict,
@@ -40,6 +41,9 @@
     peer_deadline_by_id: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
+    mark_by_url: dict[str, relay.Mark] = dataclasses.field(
+        default_factory=dict,
+    )
     stepped_down_by_upstream: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
@@ -84,6 +88,7 @@
         now_ms=now_ms,
         incarnation=secrets.token_hex(_INCARNATION_BYTES),
         witness=witness.Witness(),
+        once=once.Registry(),
         random=random.Random(),  # ruff: ignore[suspicious-non-cryptographic-random-usage]
     )
 
--- a/src/lentilgauge/vms/controller_main.py
+++ b/src/lentilgauge/vms/controller_main.py
@@ -9,6 +9,7 @@
 from lentilgauge.vms import controller as controller_module
 from lentilgauge.vms import (
     membership,
+    once_keeping,
     peer_relay,
     planner,
     platform_watch,
@@ -51,6 +52,7 @@
     http_server.start_server(
         routes={
             **endpoint.make_relay_routes(controller),
+            **once_keeping.make_once_routes(controller),
             **endpoint.make_command_routes(controller),
             **endpoint.make_query_routes(controller),
         },
--- a/src/lentilgauge/vms/entry.py
+++ b/src/lentilgauge/vms/entry.py
@@ -9,7 +9,7 @@
 
 from lentilgauge import clock, metrics, settings
 from lentilgauge.callers import kinds, retries
-from lentilgauge.links import http_client
+from lentilgauge.links import http_client, relay
 from lentilgauge.services import catalog
 from lentilgauge.upstreams import gates
 from lentilgauge.vms import replica
@@ -33,6 +33,9 @@
     random: random.Random
     id_prefix: str
     fresh_deadline_ms: int = 0
+    mark_by_url: dict[str, relay.Mark] = dataclasses.field(
+        default_factory=dict,
+    )
     leaving: bool = False
     in_flight: int = 0
     idle: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
--- a/src/lentilgauge/vms/entry_feed.py
+++ b/src/lentilgauge/vms/entry_feed.py
@@ -51,7 +51,7 @@
         entry.client,
         source,
         relay.Wanted(
-            after=entry.replica.revision,
+            after=entry.mark_by_url.get(source, relay.NO_MARK),
             wait_ms=_WAIT_MS,
             timeout_ms=_TIMEOUT_MS,
         ),
@@ -63,8 +63,9 @@
     await replica.take_changes(
         entry.replica,
         message.changed,
-        message.revision,
+        0,
     )
+    entry.mark_by_url[source] = relay.Mark(message.source, message.serial)
     if message.changed:
         entry_module.adopt_configuration(entry)
     if message.fresh_age_ms is None:
--- a/src/lentilgauge/vms/peer_relay.py
+++ b/src/lentilgauge/vms/peer_relay.py
@@ -41,7 +41,7 @@
         controller.client,
         base_url,
         relay.Wanted(
-            after=controller.replica.revision,
+            after=controller.mark_by_url.get(base_url, relay.NO_MARK),
             wait_ms=_NO_WAIT_MS,
             timeout_ms=controller.section.call_timeout_ms,
         ),
@@ -50,6 +50,10 @@
         return False
     message = fetched.unwrap()
     await replica.take_changes(controller.replica, message.changed, 0)
+    controller.mark_by_url[base_url] = relay.Mark(
+        message.source,
+        message.serial,
+    )
     age_ms = message.confirmed_age_ms
     if age_ms is not None:
         confirmed_ms = controller.replica.confirmed_ms
--- a/src/lentilgauge/vms/replica.py
+++ b/src/lentilgauge/vms/replica.py
@@ -16,6 +16,8 @@
 class Replica:
     """Hold the latest known version of every object, parsed.
 
+    Up to `revision` nothing is missing; objects learned of otherwise can be
+    newer. `serial` counts what was taken on, in this replica's own order.
     `confirmed_ms` is the last moment, in this process's clock, at which
     nothing newer was known to the platform.
     """
@@ -24,6 +26,8 @@
         dataclasses.field(default_factory=dict)
     )
     revision: int = 0
+    serial: int = 0
+    serial_by_name: dict[str, int] = dataclasses.field(default_factory=dict)
     confirmed_ms: int | None = None
     config: catalog.Catalog = dataclasses.field(default_factory=catalog.Catalog)
     slot_map_by_service: dict[str, slots.SlotMap] = dataclasses.field(
@@ -66,6 +70,8 @@
         return False
     _parse_object(replica, stored)
     replica.object_by_name[stored.name] = stored
+    replica.serial += 1
+    replica.serial_by_name[stored.name] = replica.serial
     return True
 
 
@@ -119,14 +125,14 @@
     replica: Replica,
     after: int,
 ) -> list[platform_messages.StoredObject]:
-    """List the known objects that changed after a revision."""
-    changed = [
-        stored
-        for stored in replica.object_by_name.values()
-        if stored.revision > after
+    """List the objects taken on after a serial, in that order."""
+    names = [
+        name
+        for name, serial in replica.serial_by_name.items()
+        if serial > after
     ]
-    changed.sort(key=lambda stored: stored.revision)
-    return changed
+    names.sort(key=lambda name: replica.serial_by_name[name])
+    return [replica.object_by_name[name] for name in names]
 
 
 async def wait_for_change(replica: Replica, wait_seconds: float) -> None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -316,6 +316,37 @@
 
             await wait_for(is_served)
 
+    async def test_servers_that_check_nothing_are_waited_out(self) -> None:
+        """Cut a server from controllers while entries still reach it."""
+        shape = make_shape(
+            options={
+                'controller': {'entry_freshness_ms': 3000},
+                'entry': {'freshness_ms': 3000},
+            },
+        )
+        shape = users.without_tokens(users.with_proxies(shape, ('cases-1',)))
+        async with systems.run_system(shape) as system:
+            await observer.set_faults(
+                system.cluster,
+                system.client,
+                topology.name_proxy_control('cases-1'),
+                fault_proxy.FaultsMessage(
+                    to_target=fault_proxy.Treatment.DROP,
+                ),
+            )
+            names = iter(range(_TRIES))
+
+            async def has_lost_all() -> bool:
+                await self.send_to_all_keys(system, f'cut-{next(names)}')
+                return not await self.count_slots(system, 'cases-1')
+
+            await wait_for(has_lost_all)
+            self.assertEqual(
+                set(await self.send_to_all_keys(system, 'after')),
+                {200},
+            )
+            self.judge(system)
+
     async def test_a_cut_link_moves_slots_to_others(self) -> None:
         """Drop answers, then hold grants and let them through late."""
         shape = make_shape()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -229,6 +229,33 @@
         self.assertEqual((made.config.version, known), (2, 8))
 
 
+class RelayTest(unittest.TestCase):
+    """Test that whoever follows a replica misses nothing."""
+
+    def test_an_object_learned_late_is_passed_on(self) -> None:
+        made = replica.Replica()
+        followed = 0
+        seen = []
+        # A write's answer brings a newer object before the watch an older.
+        for revision, name in ((5, 'vm/one'), (4, 'vm/two')):
+            stored = platform_messages.StoredObject(
+                name=name,
+                version=1,
+                revision=revision,
+                body={
+                    'failure_domain': 'domain-a',
+                    'address': '127.0.0.1',
+                    'port': 1,
+                    'incarnation': 'first',
+                    'state': 'live',
+                },
+            )
+            replica.take_object(made, stored)
+            seen += [one.name for one in replica.list_changes(made, followed)]
+            followed = made.serial
+        self.assertEqual(seen, ['vm/one', 'vm/two'])
+
+
 class SlotsTest(unittest.TestCase):
     """Test that each slot keeps exactly one owner."""
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,7 +14,7 @@
 from tornado import curl_httpclient, httpclient, httputil
 
 from lentilgauge import metrics, settings
-from lentilgauge.contracts import holder, lease, witness
+from lentilgauge.contracts import holder, lease, once, witness
 from lentilgauge.links import http_server, platform, platform_messages
 from lentilgauge.operators import endpoint
 from lentilgauge.services import configuration
@@ -186,6 +186,7 @@
             now_ms=node.now_ms,
             incarnation=f'{name}#0',
             witness=witness.Witness(),
+            once=once.Registry(),
             random=random.Random(number),
         )
         self.network.routes_by_name[name] = endpoint.make_relay_routes(made)
