--- /dev/null
+++ b/src/lentilgauge/links/message_call.py
@@ -0,0 +1,56 @@
+"""Exchange one message for another over HTTP."""
+
+import dataclasses
+from typing import TypeVar
+
+import pydantic
+from returns import result
+from tornado import httpclient
+
+from lentilgauge.links import http_client
+
+Message = TypeVar('Message', bound=pydantic.BaseModel)
+MessageResult = result.Result[Message, http_client.LinkFailure]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MessageCall:
+    """Describe one exchange; without a message it is a plain question."""
+
+    url: str
+    timeout_ms: int
+    message: pydantic.BaseModel | None = None
+
+
+async def exchange(
+    client: httpclient.AsyncHTTPClient,
+    call: MessageCall,
+    model: type[Message],
+) -> MessageResult[Message]:
+    """Send a message and parse the answer.
+
+    An answer that is no such message counts as `INVALID`, an error too.
+    """
+    message = call.message
+    sent = await http_client.send_call(
+        client,
+        http_client.Call(
+            method='GET' if message is None else 'POST',
+            url=call.url,
+            timeout_ms=call.timeout_ms,
+            body=None
+            if message is None
+            else message.model_dump_json().encode(),
+        ),
+    )
+    return sent.bind(lambda reply: _parse(reply, model))
+
+
+def _parse(
+    reply: http_client.Reply,
+    model: type[Message],
+) -> MessageResult[Message]:
+    try:
+        return result.Success(model.model_validate_json(reply.body))
+    except pydantic.ValidationError:
+        return result.Failure(http_client.LinkFailure.INVALID)
--- a/src/lentilgauge/links/once_link.py
+++ b/src/lentilgauge/links/once_link.py
@@ -7,7 +7,7 @@
 from tornado import httpclient
 
 from lentilgauge.contracts import once
-from lentilgauge.links import http_client
+from lentilgauge.links import http_client, message_call
 
 BEGIN_PATH = '/peer/once/begin'
 END_PATH = '/peer/once/end'
@@ -81,16 +81,16 @@
         run_ms=asked.run_ms,
         keep_ms=asked.keep_ms,
     )
-    sent = await _post(client, f'{base_url}{BEGIN_PATH}', message)
-    return sent.bind(_parse_known)
-
-
-def _parse_known(reply: http_client.Reply) -> KnownResult:
-    try:
-        message = KnownMessage.model_validate_json(reply.body)
-    except pydantic.ValidationError:
-        return result.Failure(http_client.LinkFailure.INVALID)
-    return result.Success(unpack_known(message))
+    answered = await message_call.exchange(
+        client,
+        message_call.MessageCall(
+            url=f'{base_url}{BEGIN_PATH}',
+            timeout_ms=_TIMEOUT_MS,
+            message=message,
+        ),
+        KnownMessage,
+    )
+    return answered.map(unpack_known)
 
 
 async def tell_end(
@@ -100,21 +100,12 @@
     known: once.Known,
 ) -> None:
     """Tell one VM how a request ended."""
-    message = EndMessage(key=key, known=pack_known(known))
-    await _post(client, f'{base_url}{END_PATH}', message)
-
-
-async def _post(
-    client: httpclient.AsyncHTTPClient,
-    url: str,
-    message: pydantic.BaseModel,
-) -> http_client.CallResult:
-    return await http_client.send_call(
+    await message_call.exchange(
         client,
-        http_client.Call(
-            method='POST',
-            url=url,
+        message_call.MessageCall(
+            url=f'{base_url}{END_PATH}',
             timeout_ms=_TIMEOUT_MS,
-            body=message.model_dump_json().encode(),
+            message=EndMessage(key=key, known=pack_known(known)),
         ),
+        KnownMessage,
     )
--- a/src/lentilgauge/links/platform.py
+++ b/src/lentilgauge/links/platform.py
@@ -11,7 +11,7 @@
 from tornado import httpclient
 
 from lentilgauge import errors
-from lentilgauge.links import http_client, platform_messages
+from lentilgauge.links import http_client, message_call, platform_messages
 
 WRITE_IDS = 'write_ids'
 #: A body keeps this many ids of its latest writes, to settle lost answers.
@@ -178,46 +178,27 @@
     wait_ms: int,
 ) -> ChangesResult:
     """Wait up to `wait_ms` for changes after a revision."""
-    sent = await http_client.send_call(
+    answered = await message_call.exchange(
         platform.client,
-        http_client.Call(
-            method='GET',
+        message_call.MessageCall(
             url=f'{platform.base_url}/watch?after={after}&wait_ms={wait_ms}',
             timeout_ms=platform.timeout_ms + wait_ms,
         ),
+        platform_messages.ChangesMessage,
     )
-    if not isinstance(sent, result.Success):
-        return result.Failure(_fail(f'watching: {sent.failure()}'))
-    reply = sent.unwrap()
-    if reply.status != http.HTTPStatus.OK:
-        return result.Failure(_fail(f'the platform answered {reply.status}'))
-    try:
-        changes = platform_messages.ChangesMessage.model_validate_json(
-            reply.body,
-        )
-    except pydantic.ValidationError:
-        return result.Failure(_fail('the platform answered no changes'))
-    return result.Success(changes)
+    return answered.alt(lambda failure: _fail(f'watching: {failure}'))
 
 
 async def list_vms(
     platform: Platform,
 ) -> result.Result[platform_messages.VmListMessage, errors.Failure]:
     """Read the platform's list of VMs, which lags the truth."""
-    sent = await http_client.send_call(
+    answered = await message_call.exchange(
         platform.client,
-        http_client.Call(
-            method='GET',
+        message_call.MessageCall(
             url=f'{platform.base_url}/vms',
             timeout_ms=platform.timeout_ms,
         ),
+        platform_messages.VmListMessage,
     )
-    if not isinstance(sent, result.Success):
-        return result.Failure(_fail(f'listing VMs: {sent.failure()}'))
-    try:
-        listed = platform_messages.VmListMessage.model_validate_json(
-            sent.unwrap().body,
-        )
-    except pydantic.ValidationError:
-        return result.Failure(_fail('the platform answered no VM list'))
-    return result.Success(listed)
+    return answered.alt(lambda failure: _fail(f'listing VMs: {failure}'))
--- a/src/lentilgauge/links/relay.py
+++ b/src/lentilgauge/links/relay.py
@@ -3,10 +3,9 @@
 import dataclasses
 
 import pydantic
-from returns import result
 from tornado import httpclient
 
-from lentilgauge.links import http_client, platform_messages
+from lentilgauge.links import message_call, platform_messages
 
 CHANGES_PATH = '/changes'
 
@@ -49,7 +48,7 @@
     timeout_ms: int
 
 
-RelayResult = result.Result[RelayMessage, http_client.LinkFailure]
+RelayResult = message_call.MessageResult[RelayMessage]
 
 
 async def fetch_changes(
@@ -58,10 +57,9 @@
     wanted: Wanted,
 ) -> RelayResult:
     """Fetch the changes after a mark."""
-    sent = await http_client.send_call(
+    return await message_call.exchange(
         client,
-        http_client.Call(
-            method='GET',
+        message_call.MessageCall(
             url=(
                 f'{base_url}{CHANGES_PATH}'
                 f'?source={wanted.after.source}&after={wanted.after.serial}'
@@ -69,14 +67,5 @@
             ),
             timeout_ms=wanted.timeout_ms + wanted.wait_ms,
         ),
+        RelayMessage,
     )
-    return sent.bind(_parse_relay)
-
-
-def _parse_relay(reply: http_client.Reply) -> RelayResult:
-    try:
-        return result.Success(
-            RelayMessage.model_validate_json(reply.body),
-        )
-    except pydantic.ValidationError:
-        return result.Failure(http_client.LinkFailure.INVALID)
--- a/src/lentilgauge/links/upstream_control.py
+++ b/src/lentilgauge/links/upstream_control.py
@@ -1,11 +1,10 @@
 """Send grants to upstreams."""
 
-import pydantic
 from returns import result
 from tornado import httpclient
 
 from lentilgauge.contracts import lease, lessor
-from lentilgauge.links import http_client, upstream_messages
+from lentilgauge.links import http_client, message_call, upstream_messages
 from lentilgauge.services import catalog
 
 GRANT_PATH = '/control/grant'
@@ -20,24 +19,13 @@
     timeout_ms: int,
 ) -> ReplyResult:
     """Send a grant and read the upstream's answer to it."""
-    message = upstream_messages.pack_grant(grant)
-    sent = await http_client.send_call(
+    answered = await message_call.exchange(
         client,
-        http_client.Call(
-            method='POST',
+        message_call.MessageCall(
             url=f'{upstream.control_url}{GRANT_PATH}',
             timeout_ms=timeout_ms,
-            body=message.model_dump_json().encode(),
+            message=upstream_messages.pack_grant(grant),
         ),
+        upstream_messages.GrantReplyMessage,
     )
-    return sent.bind(_parse_reply)
-
-
-def _parse_reply(reply: http_client.Reply) -> ReplyResult:
-    try:
-        message = upstream_messages.GrantReplyMessage.model_validate_json(
-            reply.body,
-        )
-    except pydantic.ValidationError:
-        return result.Failure(http_client.LinkFailure.INVALID)
-    return result.Success(upstream_messages.unpack_reply(message))
+    return answered.map(upstream_messages.unpack_reply)
--- a/src/lentilgauge/links/witness_link.py
+++ b/src/lentilgauge/links/witness_link.py
@@ -3,10 +3,9 @@
 import dataclasses
 
 import pydantic
-from returns import result
 from tornado import httpclient
 
-from lentilgauge.links import http_client
+from lentilgauge.links import message_call
 
 VOUCH_PATH = '/peer/vouch'
 RELEASE_PATH = '/peer/release'
@@ -58,48 +57,35 @@
     client: httpclient.AsyncHTTPClient,
     address: WitnessAddress,
     message: VouchMessage,
-) -> result.Result[VouchReply, http_client.LinkFailure]:
+) -> message_call.MessageResult[VouchReply]:
     """Ask a witness to vouch."""
-    sent = await _post(client, address, VOUCH_PATH, message)
-    if not isinstance(sent, result.Success):
-        return result.Failure(sent.failure())
-    try:
-        return result.Success(
-            VouchReply.model_validate_json(sent.unwrap().body),
-        )
-    except pydantic.ValidationError:
-        return result.Failure(http_client.LinkFailure.INVALID)
+    return await message_call.exchange(
+        client,
+        _make_call(address, VOUCH_PATH, message),
+        VouchReply,
+    )
 
 
 async def ask_to_release(
     client: httpclient.AsyncHTTPClient,
     address: WitnessAddress,
     message: ReleaseMessage,
-) -> result.Result[ReleaseReply, http_client.LinkFailure]:
+) -> message_call.MessageResult[ReleaseReply]:
     """Ask a witness to release."""
-    sent = await _post(client, address, RELEASE_PATH, message)
-    if not isinstance(sent, result.Success):
-        return result.Failure(sent.failure())
-    try:
-        return result.Success(
-            ReleaseReply.model_validate_json(sent.unwrap().body),
-        )
-    except pydantic.ValidationError:
-        return result.Failure(http_client.LinkFailure.INVALID)
-
-
-async def _post(
-    client: httpclient.AsyncHTTPClient,
+    return await message_call.exchange(
+        client,
+        _make_call(address, RELEASE_PATH, message),
+        ReleaseReply,
+    )
+
+
+def _make_call(
     address: WitnessAddress,
     path: str,
     message: pydantic.BaseModel,
-) -> http_client.CallResult:
-    return await http_client.send_call(
-        client,
-        http_client.Call(
-            method='POST',
-            url=f'{address.base_url}{path}',
-            timeout_ms=address.timeout_ms,
-            body=message.model_dump_json().encode(),
-        ),
+) -> message_call.MessageCall:
+    return message_call.MessageCall(
+        url=f'{address.base_url}{path}',
+        timeout_ms=address.timeout_ms,
+        message=message,
     )
--- a/src/lentilgauge/load/command_line.py
+++ b/src/lentilgauge/load/command_line.py
@@ -7,6 +7,7 @@
     entry_bench,
     ownership_bench,
     placement_bench,
+    state_bench,
 )
 
 
@@ -18,6 +19,7 @@
             'bench-entry': entry_bench.run_entry_bench,
             'bench-ownership': ownership_bench.run_ownership_bench,
             'bench-placement': placement_bench.run_placement_bench,
+            'bench-state': state_bench.run_state_bench,
             'closed-loop': closed_loop.run_closed_loop,
         }
     )
--- a/src/lentilgauge/load/ownership_bench.py
+++ b/src/lentilgauge/load/ownership_bench.py
@@ -32,6 +32,7 @@
 _COST_SECONDS = 6
 _PERCENT = 100
 _MB = 1_048_576
+_KB = 1024
 #: VMs and upstreams of each system whose cost is measured.
 _SIZES = ((4, 4), (4, 16), (4, 32), (10, 30), (30, 30))
 
@@ -50,13 +51,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Cost:
-    """Hold what control costs one controller, a second."""
+    """Hold what control costs one controller, a second.
+
+    `kilobytes` is all loopback traffic over the number of controllers: their
+    own messages and the answers of upstreams, peers and the platform.
+    """
 
     upstreams: int
     cpu_percent: float
     memory_mb: float
     calls: float
     platform_calls: float
+    kilobytes: float
 
 
 async def _get_status(stage: experiment.Stage) -> status.StatusMessage:
@@ -174,6 +180,7 @@
         upstreams=0,
         cpu_percent=processes.read_cpu_seconds(pid) * _PERCENT,
         memory_mb=processes.read_resident_bytes(pid) / _MB,
+        kilobytes=processes.read_loopback_bytes() / _KB,
         calls=counts.get('grants_sent', 0) + counts.get('peer_heartbeats', 0),
         platform_calls=sum(
             counts.get(family, 0)
@@ -229,6 +236,7 @@
         memory_mb=max(one.memory_mb for one in after),
         calls=statistics.mean(one.calls for one in spent),
         platform_calls=statistics.mean(one.platform_calls for one in spent),
+        kilobytes=spent[0].kilobytes / len(vms),
     )
 
 
@@ -241,6 +249,7 @@
         calls=(late.calls - early.calls) / _COST_SECONDS,
         platform_calls=(late.platform_calls - early.platform_calls)
         / _COST_SECONDS,
+        kilobytes=(late.kilobytes - early.kilobytes) / _COST_SECONDS,
     )
 
 
@@ -252,6 +261,7 @@
         f'{cost.memory_mb:.0f}',
         f'{cost.calls:.1f}',
         f'{cost.platform_calls:.2f}',
+        f'{cost.kilobytes:.1f}',
     ]
 
 
@@ -268,6 +278,7 @@
             'MB',
             'CALLS/s',
             'PLATFORM/s',
+            'KB/s',
         ),
         rows,
     )
--- a/src/lentilgauge/load/processes.py
+++ b/src/lentilgauge/load/processes.py
@@ -67,6 +67,16 @@
     return int(statm.split()[1]) * os.sysconf('SC_PAGE_SIZE')
 
 
+def read_loopback_bytes() -> int:
+    """Return how many bytes have passed over the loopback interface."""
+    lines = pathlib.Path('/proc/net/dev').read_text(encoding='utf-8')
+    for line in lines.splitlines():
+        name, _, counters = line.partition(':')
+        if name.strip() == 'lo':
+            return int(counters.split()[0])
+    return 0
+
+
 async def stop_process(process: Process, number: signal.Signals) -> None:
     """Send a signal to a process and wait until it has ended."""
     if process.child.returncode is None:
--- a/src/lentilgauge/operators/command_line.py
+++ b/src/lentilgauge/operators/command_line.py
@@ -11,7 +11,7 @@
 
 from lentilgauge import errors, programs
 from lentilgauge.links import http_client, operator_link
-from lentilgauge.operators import changes, status, tables
+from lentilgauge.operators import changes, status, tables, versions
 from lentilgauge.services import configuration
 
 EXIT_REFUSED = 1
@@ -87,6 +87,18 @@
     )
 
 
+def show_versions(
+    controller: str = _DEFAULT_CONTROLLER,
+    *,
+    json: bool = False,
+) -> None:
+    """Show which VM runs which version of the configuration."""
+    _finish(
+        versions.collect_versions(_make_link(controller)),
+        _render_json if json else tables.render_versions,
+    )
+
+
 def show_owner(
     service: str,
     key: str,
@@ -194,6 +206,7 @@
         {
             'status': show_status,
             'owner': show_owner,
+            'versions': show_versions,
             'apply': apply_configuration,
             'domain': set_domain,
             'upstream': set_upstream,
--- a/src/lentilgauge/operators/status.py
+++ b/src/lentilgauge/operators/status.py
@@ -44,6 +44,7 @@
     id: str
     failure_domain: str
     state: str
+    url: str
 
 
 class LeaseStatus(pydantic.BaseModel):
@@ -171,6 +172,7 @@
                 id=vm_id,
                 failure_domain=vm.failure_domain,
                 state=vm.state,
+                url=f'http://{vm.address}:{vm.port}',
             )
             for vm_id, vm in known.vm_by_id.items()
         ],
--- a/src/lentilgauge/operators/tables.py
+++ b/src/lentilgauge/operators/tables.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from lentilgauge.operators import status
+from lentilgauge.operators import status, versions
 
 Row = Sequence[object]
 
@@ -92,3 +92,21 @@
             _render_vms(message),
         )
     )
+
+
+def render_versions(message: versions.VersionsMessage) -> str:
+    """Render which VM runs which version."""
+    table = render_table(
+        ('VM', 'STATE', 'VERSION', 'CONFIRMED ms AGO'),
+        (
+            (
+                one.vm,
+                one.state,
+                'no answer' if one.version is None else one.version,
+                '-' if one.confirmed_age_ms is None else one.confirmed_age_ms,
+            )
+            for one in message.vms
+        ),
+    )
+    where = 'everywhere' if message.everywhere else 'not everywhere yet'
+    return f'{table}\n\nversion {message.newest} is in force {where}'
--- a/src/lentilgauge/services/placement.py
+++ b/src/lentilgauge/services/placement.py
@@ -100,10 +100,7 @@
     if not weight_by_id:
         return {}
     count_by_id = count_future_slots(slot_map, weight_by_id)
-    kept_by_id = {
-        upstream_id: slots.list_kept_slots(slot_map, upstream_id)
-        for upstream_id in weight_by_id
-    }
+    kept_by_id = slots.group_kept_slots(slot_map)
     planned: dict[int, str] = {}
     for _ in range(most_moves):
         giver = _find_most_loaded(count_by_id, weight_by_id, kept_by_id)
@@ -126,7 +123,9 @@
     kept_by_id: Mapping[str, list[int]],
 ) -> str | None:
     givers = [
-        upstream_id for upstream_id in weight_by_id if kept_by_id[upstream_id]
+        upstream_id
+        for upstream_id in weight_by_id
+        if kept_by_id.get(upstream_id)
     ]
     return max(
         givers,
--- a/src/lentilgauge/services/slots.py
+++ b/src/lentilgauge/services/slots.py
@@ -62,13 +62,14 @@
     ]
 
 
-def list_kept_slots(slot_map: SlotMap, upstream_id: str) -> list[int]:
-    """List the slots that an upstream owns and isn't giving up."""
-    return [
-        slot
-        for slot in list_slots(slot_map, upstream_id)
-        if slot not in slot_map.move_by_slot
-    ]
+def group_kept_slots(slot_map: SlotMap) -> dict[str, list[int]]:
+    """Group the owned slots that no move concerns by their owner."""
+    kept_by_owner: dict[str, list[int]] = {}
+    for slot, owner in enumerate(slot_map.owner_by_slot):
+        if slot not in slot_map.move_by_slot:
+            kept_by_owner.setdefault(owner, []).append(slot)
+    kept_by_owner.pop(VACANT, None)
+    return kept_by_owner
 
 
 def list_vacant_slots(slot_map: SlotMap) -> list[int]:
--- a/src/lentilgauge/vms/once_keeping.py
+++ b/src/lentilgauge/vms/once_keeping.py
@@ -29,7 +29,7 @@
         message = once_link.EndMessage.model_validate_json(request.body)
         known = once_link.unpack_known(message.known)
         once.end(registry, message.key, known)
-        return http_server.Response()
+        return http_server.respond(message.known)
 
     return {
         http_server.Route('POST', once_link.BEGIN_PATH): begin,
--- a/src/lentilgauge/vms/renewals.py
+++ b/src/lentilgauge/vms/renewals.py
@@ -17,13 +17,16 @@
 
 
 def list_wanted(
-    slot_map: slots.SlotMap,
-    upstream_id: str,
+    controller: controller_module.Controller,
+    upstream: catalog.Upstream,
 ) -> tuple[lease.SlotGrant, ...]:
     """List the slots an upstream should be granted."""
+    known = controller.replica
+    epoch_by_slot = known.slot_map_by_service[upstream.service].epoch_by_slot
+    kept_by_owner = known.kept_by_service[upstream.service]
     return tuple(
-        lease.SlotGrant(slot, slot_map.epoch_by_slot[slot])
-        for slot in slots.list_kept_slots(slot_map, upstream_id)
+        lease.SlotGrant(slot, epoch_by_slot[slot])
+        for slot in kept_by_owner.get(upstream.id, ())
     )
 
 
@@ -45,10 +48,11 @@
 def choose_grant(
     controller: controller_module.Controller,
     held: lessor.Lessor,
-    slot_map: slots.SlotMap,
+    upstream: catalog.Upstream,
 ) -> lease.Grant:
     """Choose what to send: a grant to the lease's holder, or a poll."""
-    body = controller.replica.term_by_upstream[held.upstream_id]
+    body = controller.replica.term_by_upstream[upstream.id]
+    slot_map = controller.replica.slot_map_by_service[upstream.service]
     echo = held.echo
     if echo is None or not may_hold(body, slot_map, held):
         return lessor.make_poll(held)
@@ -58,7 +62,7 @@
         held,
         controller.terms,
         echo,
-        list_wanted(slot_map, held.upstream_id),
+        list_wanted(controller, upstream),
     )
 
 
@@ -69,7 +73,7 @@
 ) -> None:
     """Send one grant or poll and learn from the answer."""
     slot_map = controller.replica.slot_map_by_service[upstream.service]
-    grant = choose_grant(controller, held, slot_map)
+    grant = choose_grant(controller, held, upstream)
     held.granted_map_epoch = slot_map.epoch
     controller.metrics.count('grants_sent')
     sent = await upstream_control.send_grant(
@@ -120,7 +124,7 @@
         return True
     if _waits_for_moves(held, slot_map):
         return True
-    return held.granted_slots != list_wanted(slot_map, held.upstream_id)
+    return held.granted_slots != list_wanted(controller, upstream)
 
 
 def find_wait_ms(
--- a/src/lentilgauge/vms/replica.py
+++ b/src/lentilgauge/vms/replica.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from lentilgauge.links import platform_messages, state_messages
 from lentilgauge.services import catalog, configuration, slots
@@ -33,6 +33,9 @@
     slot_map_by_service: dict[str, slots.SlotMap] = dataclasses.field(
         default_factory=dict,
     )
+    kept_by_service: dict[str, Mapping[str, list[int]]] = dataclasses.field(
+        default_factory=dict,
+    )
     term_by_upstream: dict[str, state_messages.TermBody] = dataclasses.field(
         default_factory=dict,
     )
@@ -88,10 +91,10 @@
     elif name.startswith(_ASSIGNMENT):
         service = name.removeprefix(_ASSIGNMENT)
         body = state_messages.AssignmentBody.model_validate(stored.body)
-        replica.slot_map_by_service[service] = state_messages.unpack_slot_map(
-            stored.version,
-            body,
-        )
+        slot_map = state_messages.unpack_slot_map(stored.version, body)
+        replica.slot_map_by_service[service] = slot_map
+        # Each renewal asks for this: it must not scan all slots every time.
+        replica.kept_by_service[service] = slots.group_kept_slots(slot_map)
     elif name.startswith(_TERM):
         upstream_id = name.removeprefix(_TERM)
         replica.term_by_upstream[upstream_id] = (
--- a/src/lentilgauge/vms/settlement.py
+++ b/src/lentilgauge/vms/settlement.py
@@ -7,7 +7,7 @@
 
 from lentilgauge import logs
 from lentilgauge.contracts import lessor
-from lentilgauge.links import http_client, http_server, state_messages
+from lentilgauge.links import http_server, message_call, state_messages
 from lentilgauge.vms import controller as controller_module
 from lentilgauge.vms import witnesses
 
@@ -81,24 +81,21 @@
     vm = controller.replica.vm_by_id.get(old.controller)
     if vm is None:
         return None
-    sent = await http_client.send_call(
+    answered = await message_call.exchange(
         controller.client,
-        http_client.Call(
-            method='POST',
+        message_call.MessageCall(
             url=(
                 f'http://{vm.address}:{vm.port}'
                 f'{STEP_DOWN_PATH}{taken.upstream_id}'
             ),
             timeout_ms=controller.section.call_timeout_ms,
-            body=old.model_dump_json().encode(),
+            message=old,
         ),
+        StepDownMessage,
     )
-    if not isinstance(sent, result.Success):
-        return None
-    try:
-        message = StepDownMessage.model_validate_json(sent.unwrap().body)
-    except pydantic.ValidationError:
+    if not isinstance(answered, result.Success):
         return None
+    message: StepDownMessage = answered.unwrap()
     if message.lapse_in_ms is None:
         return None
     span_ms = lessor.stretch(controller.terms, message.lapse_in_ms)
--- a/tests/systems.py
+++ b/tests/systems.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
 import tempfile
 from collections.abc import AsyncGenerator
@@ -63,6 +64,15 @@
         await observer.wait_until_ready(running, system.client, vm)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Printed:
+    """Hold how a command ended and what it printed."""
+
+    code: int | None
+    out: str
+    err: str
+
+
 def has_text(path: pathlib.Path, text: str) -> bool:
     """Tell whether a file has a text."""
     return text in path.read_text(encoding='utf-8')
