Ask witnesses earlier, and make the client on the loop it serves

Cause: on a machine kept busy by other runs the test of hazard 8 failed once (503 and 504 in the first seconds of a platform outage): vouches were asked for 0.6 s before the grace ended, with 200 ms for an answer. The test of the new versions command hung: its HTTP client was made before the loop that ran it. Change: witnesses are asked from 1.5 s after the last confirmation, every 250 ms with 500 ms for an answer, and vouch for 4 s; the client is made on its loop. Before: 54 of 55 tests on a busy machine; versions hung.

--- a/src/lentilgauge/operators/command_line.py
+++ b/src/lentilgauge/operators/command_line.py
@@ -38,6 +38,13 @@
     return await operator_link.ask(_make_link(controller), question, model)
 
 
+async def _collect_versions(
+    controller: str,
+) -> operator_link.AnswerResult[versions.VersionsMessage]:
+    # The client belongs to the loop that it is made on.
+    return await versions.collect_versions(_make_link(controller))
+
+
 def _finish(
     asked: Coroutine[
         object,
@@ -94,7 +101,7 @@
 ) -> None:
     """Show which VM runs which version of the configuration."""
     _finish(
-        versions.collect_versions(_make_link(controller)),
+        _collect_versions(controller),
         _render_json if json else tables.render_versions,
     )
 
--- a/src/lentilgauge/settings.py
+++ b/src/lentilgauge/settings.py
@@ -53,7 +53,7 @@
     address: pydantic.IPvAnyAddress
     port: Port
     timeout_ms: PositiveMs = 1000
-    watch_ms: PositiveMs = 700
+    watch_ms: PositiveMs = 600
 
 
 class ControllerSettings(Section):
@@ -68,7 +68,8 @@
     confirm_ms: PositiveMs = 1000
     vm_list_ms: PositiveMs = 1000
     confirm_grace_ms: PositiveMs = 2500
-    vouch_ms: PositiveMs = 2000
+    vouch_ms: PositiveMs = 4000
+    vouch_timeout_ms: PositiveMs = 500
     clock_drift_per_mille: Annotated[int, pydantic.Field(ge=0, le=100)] = 2
     entry_freshness_ms: FreshnessMs = 5000
     moves_in_flight: Annotated[int, pydantic.Field(ge=1, le=1000)] = 4
--- a/src/lentilgauge/vms/witnesses.py
+++ b/src/lentilgauge/vms/witnesses.py
@@ -14,9 +14,9 @@
 #: Each term names up to this many witnesses.
 NAMED = 3
 _PER_MILLE = 1000
-_ASKS_PER_VOUCH = 4
+_ASKS_PER_VOUCH = 16
 #: The part of the grace after which witnesses are asked in advance.
-_LATE_SHARE = 0.75
+_LATE_SHARE = 0.6
 
 
 def choose_witnesses(
@@ -55,7 +55,7 @@
         return None
     return witness_link.WitnessAddress(
         base_url=f'http://{vm.address}:{vm.port}',
-        timeout_ms=controller.section.call_timeout_ms,
+        timeout_ms=controller.section.vouch_timeout_ms,
     )
 
 
