Remove an empty package

Cause: reading the tree as a newcomer, failure_domains held nothing. Change: removed; what is known of a failure domain is in the catalog. Before and after: no behaviour.

--- a/src/lentilgauge/failure_domains/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Know which failure domains may take work."""
