--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -267,3 +267,18 @@
         vacated = slots.remove_available(made, 'one')
         self.assertEqual(slots.list_vacant_slots(vacated), list(range(8)))
         self.assertFalse(vacated.move_by_slot)
+
+
+class ExamplesTest(unittest.TestCase):
+    """Test that the shipped examples are valid, at the users' sizes."""
+
+    def test_both_users_configurations_are_taken(self) -> None:
+        folder = pathlib.Path('examples/settings')
+        for name, upstreams, domains in (
+            ('venture.ini', 33, 4),
+            ('association.ini', 36, 3),
+            ('quickstart.ini', 1, 1),
+        ):
+            read = configuration.read_configuration(folder / name).unwrap()
+            self.assertEqual(len(read.upstreams), upstreams)
+            self.assertEqual(len(read.failure_domains), domains)
