--- a/src/lentilgauge/clock.py
+++ b/src/lentilgauge/clock.py
@@ -17,11 +17,6 @@
     return time.monotonic_ns() // NS_PER_MS
 
 
-def read_wall_ms() -> int:
-    """Return the wall clock in milliseconds since the epoch."""
-    return time.time_ns() // NS_PER_MS
-
-
 def read_wall_us() -> int:
     """Return the wall clock in microseconds since the epoch."""
     return time.time_ns() // NS_PER_US
--- a/src/lentilgauge/links/upstream_data.py
+++ b/src/lentilgauge/links/upstream_data.py
@@ -18,7 +18,6 @@
 IDEMPOTENCY_KEY = 'Idempotency-Key'
 #: An upstream sets this on an answer that says "not run", with the reason.
 NOT_RUN = 'X-Not-Run'
-CANCEL_PATH = '/control/cancel'
 
 #: Headers that end at one connection, by RFC 9110 section 7.6.1.
 HOP_BY_HOP = frozenset(
@@ -169,21 +168,3 @@
         headers=reply.headers,
         body=reply.body,
     )
-
-
-async def send_cancel(
-    client: httpclient.AsyncHTTPClient,
-    upstream: catalog.Upstream,
-    request_id: str,
-    timeout_ms: int,
-) -> None:
-    """Ask an upstream to drop a request; it may already have run."""
-    await http_client.send_call(
-        client,
-        http_client.Call(
-            method='POST',
-            url=f'{upstream.base_url}{CANCEL_PATH}/{request_id}',
-            timeout_ms=timeout_ms,
-            body=b'',
-        ),
-    )
--- a/src/lentilgauge/load/generator.py
+++ b/src/lentilgauge/load/generator.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import itertools
 import json
 from collections.abc import Callable, Sequence
 
@@ -40,12 +39,6 @@
     )
 
 
-def make_rotation(urls: Sequence[str]) -> Balancer:
-    """Make a balancer that takes the entries in turn."""
-    rotation = itertools.cycle(urls)
-    return lambda: next(rotation)
-
-
 def _now_us(generator: Generator) -> int:
     return clock.read_wall_us() - generator.start_us
 
--- a/src/lentilgauge/standins/upstream.py
+++ b/src/lentilgauge/standins/upstream.py
@@ -18,8 +18,6 @@
     cut_bodies: int = 0
     wrong_ids: int = 0
     slow_factor: float = 1
-    cold: bool = False
-    stop_journal: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,9 +47,6 @@
     gate: asyncio.Semaphore
     now_ms: clock.Clock
     journal: journal.Journal
-    queued_by_id: dict[str, asyncio.Task[None]] = dataclasses.field(
-        default_factory=dict,
-    )
     count_by_slot: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter,
     )
--- a/src/lentilgauge/vms/replica.py
+++ b/src/lentilgauge/vms/replica.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
-from lentilgauge.links import platform_messages, state_messages
+from lentilgauge.links import platform, platform_messages, state_messages
 from lentilgauge.services import catalog, configuration, slots
 
 _ASSIGNMENT = state_messages.ASSIGNMENT_PREFIX
@@ -56,12 +56,7 @@
 def get_write_ids(replica: Replica, name: str) -> list[str]:
     """Return the ids of an object's latest writes."""
     found = replica.object_by_name.get(name)
-    if found is None:
-        return []
-    kept = found.body.get('write_ids')
-    return (
-        [str(write_id) for write_id in kept] if isinstance(kept, list) else []
-    )
+    return [] if found is None else platform.list_write_ids(found.body)
 
 
 def take_object(
