--- /dev/null
+++ b/src/lentilgauge/contracts/orders.py
@@ -0,0 +1,122 @@
+"""Bound how long a granted right to keys can last.
+
+A hold runs on the upstream's clock from the arrival of the order. The sender
+only knows that it arrives after it was sent and, once answered, before the
+answer; an order without an answer arrives before its connection is reset.
+"""
+
+import dataclasses
+
+from lentilgauge.services import key_ranges
+
+#: An upstream's clock may run this much slow.
+DRIFT_SHARE = 0.02
+#: Added to each bound for what timers and links add at both ends.
+SLACK_MS = 100
+#: How long to wait for the answer to a grant.
+GRANT_TIMEOUT_MS = 350
+#: How long to wait for the answer to a release, which comes when the work
+#: under way on the keys has ended.
+RELEASE_TIMEOUT_MS = 1500
+#: A usual hold: short, so that a lost upstream's keys are free soon.
+USUAL_HOLD_MS = 3000
+#: How long before the end of a usual hold it is renewed.
+RENEW_AFTER_MS = 1000
+#: How soon a renewal without an answer is tried again.
+RENEW_RETRY_MS = 250
+#: How long a granter goes on after the store last confirmed its term. Longer
+#: than the store's known outages, so that these stop no renewal.
+CONFIRM_LAPSE_MS = 12_000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Silence:
+    """Hold how an upstream has failed to answer orders in a row."""
+
+    since_ms: int
+    failures: int = 0
+    unreachable: int = 0
+
+
+#: An upstream that fails so many orders in a row over so long a time is
+#: given up; one at whose address nothing listens sooner.
+_SILENT_FAILURES = 3
+_SILENT_MS = 700
+_UNREACHABLE_FAILURES = 2
+
+
+def note_failure(
+    silence_by_id: dict[str, Silence],
+    upstream_id: str,
+    now_ms: int,
+    *,
+    unreachable: bool,
+) -> None:
+    """Count an order without an answer."""
+    silence = silence_by_id.setdefault(upstream_id, Silence(since_ms=now_ms))
+    silence.failures += 1
+    silence.unreachable += unreachable
+
+
+def is_silent(silence: Silence | None, now_ms: int) -> bool:
+    """Tell whether an upstream is given up."""
+    if silence is None:
+        return False
+    if silence.unreachable >= _UNREACHABLE_FAILURES:
+        return True
+    return (
+        silence.failures >= _SILENT_FAILURES
+        and now_ms - silence.since_ms >= _SILENT_MS
+    )
+
+
+def add_drift(hold_ms: int) -> int:
+    """Return how long a hold may last on a slow clock, with slack."""
+    return int(hold_ms * (1 + DRIFT_SHARE)) + SLACK_MS
+
+
+def note_grant_sent(
+    one: key_ranges.KeyRange,
+    now_ms: int,
+    hold_ms: int,
+) -> int:
+    """Note that a grant is about to be sent; return the end before it."""
+    before_ms = one.end_ms
+    latest_ms = now_ms + GRANT_TIMEOUT_MS + add_drift(hold_ms)
+    one.end_ms = max(one.end_ms, latest_ms)
+    one.renew_ms = now_ms + RENEW_RETRY_MS
+    return before_ms
+
+
+def note_grant_accepted(
+    one: key_ranges.KeyRange,
+    now_ms: int,
+    hold_ms: int,
+    before_ms: int,
+) -> None:
+    """Tighten the end of a hold once its grant was answered."""
+    one.end_ms = max(before_ms, now_ms + add_drift(hold_ms))
+    one.renew_ms = now_ms + RENEW_AFTER_MS
+
+
+def choose_hold_ms(*, confirmed: bool, longest_ms: int) -> int:
+    """Choose how long to grant.
+
+    While the store doesn't answer nobody could take over, so holds are as
+    long as allowed and a granter's loss meanwhile costs the least.
+    """
+    return min(USUAL_HOLD_MS, longest_ms) if confirmed else longest_ms
+
+
+def bound_end_after_takeover_ms(now_ms: int, longest_ms: int) -> int:
+    """Return by when all that an earlier granter may have granted has ended.
+
+    It stops by itself after its last confirmation, which came before the
+    record was taken over.
+    """
+    return now_ms + CONFIRM_LAPSE_MS + add_drift(longest_ms)
+
+
+def bound_end_after_stop_ms(now_ms: int, longest_ms: int) -> int:
+    """Return the same once it is known that the earlier granter stopped."""
+    return now_ms + GRANT_TIMEOUT_MS + add_drift(longest_ms)
--- a/src/lentilgauge/links/peer_link.py
+++ b/src/lentilgauge/links/peer_link.py
@@ -42,6 +42,7 @@
     """Carry a whole topic as of a mark."""
 
     mark: int
+    edits: int
     documents: list[DocumentMessage]
 
 
@@ -69,7 +70,7 @@
     """Ask for whatever is newer than the marks."""
 
     peer: Peer
-    mark_by_topic: dict[str, int]
+    mark_by_topic: dict[store_link.Topic, tuple[int, int]]
     term: int
     serial: int
     wait_ms: int
@@ -90,7 +91,7 @@
     """Carry what is newer, and the VMs that are known."""
 
     view: ViewMessage
-    section_by_topic: dict[str, SectionMessage] = {}
+    section_by_topic: dict[store_link.Topic, SectionMessage] = {}
     record: ownership.Record | None = None
     peers: list[Peer] = []
 
--- a/src/lentilgauge/links/upstream_link.py
+++ b/src/lentilgauge/links/upstream_link.py
@@ -42,6 +42,7 @@
     """Describe one sending of a caller's request to an upstream."""
 
     upstream: roster.Upstream
+    request_id: str
     method: str
     target: str
     headers: httputil.HTTPHeaders
@@ -63,7 +64,7 @@
 class GrantAnswer(enum.StrEnum):
     """Say what an upstream answered to a grant or a release.
 
-    `REFUSED_CONNECTION` means that nothing listens at its address.
+    `UNREACHABLE` means that nothing listens at its address.
     """
 
     ACCEPTED = 'accepted'
--- /dev/null
+++ b/src/lentilgauge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product."""
--- /dev/null
+++ b/src/lentilgauge/platform/program.py
@@ -0,0 +1,116 @@
+"""Run one gateway process on the users' platform."""
+
+import asyncio
+import os
+import pathlib
+import random
+import secrets
+import sys
+import time
+
+from returns import result
+
+from lentilgauge import clock, logs, metrics
+from lentilgauge.callers import gateway_server
+from lentilgauge.links import http_client, http_server, peer_link
+from lentilgauge.platform import headers, objects, settings, store, upstreams
+from lentilgauge.upstreams import loads
+from lentilgauge.vms import beliefs, following, gateway, gateway_process
+from lentilgauge.vms import peer_routes
+
+SETTINGS_VARIABLE = 'LENTILGAUGE_CONFIG'
+_READY_PATH = '/ready'
+_ID_BYTES = 6
+_EXIT_BAD_SETTINGS = 2
+
+DIALECT = gateway_server.Dialect(
+    request_id=headers.REQUEST_ID,
+    deadline_ms=headers.DEADLINE_MS,
+    key=headers.SHARD_KEY,
+    not_forwarded=upstreams.NOT_FORWARDED,
+)
+
+
+def read_boottime_ms() -> int:
+    """Return a clock that goes on while the VM is suspended."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // clock.NS_PER_MS
+
+
+def make_gateway(given: settings.SettingsFile) -> gateway.Gateway:
+    """Make the gateway that the settings describe."""
+    client = http_client.make_client()
+    return gateway.Gateway(
+        me=peer_link.Peer(
+            vm=given.node,
+            address=given.listen.control,
+            failure_domain=given.zone,
+            incarnation=secrets.token_hex(_ID_BYTES),
+        ),
+        seeds=tuple(given.seeds),
+        first_start=given.bootstrap,
+        bounds=settings.make_bounds(given),
+        beliefs=beliefs.make_beliefs(
+            beliefs.Decoders(
+                read_configuration=objects.read_configuration,
+                read_upstream=objects.read_upstream,
+            ),
+            read_boottime_ms,
+        ),
+        store=store.make_store(client, given.provider.address),
+        upstreams=upstreams.make_link(client),
+        client=client,
+        metrics=metrics.Metrics(),
+        now_ms=read_boottime_ms,
+        random=random.Random(),
+        loads=loads.Loads(failure_domain=given.zone),
+    )
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+async def run_gateway(given: settings.SettingsFile) -> None:
+    """Serve until told to stop."""
+    made = make_gateway(given)
+    peer_host, peer_port = _split_address(given.listen.control)
+    http_server.start_server(
+        routes=peer_routes.make_peer_routes(made),
+        address=peer_host,
+        port=peer_port,
+    )
+    ready_host, ready_port = _split_address(given.listen.ready)
+    http_server.start_server(
+        routes=gateway_process.make_ready_routes(made, _READY_PATH),
+        address=ready_host,
+        port=ready_port,
+    )
+    front_host, front_port = _split_address(given.listen.front)
+    callers = gateway_server.start_gateway_server(
+        made,
+        DIALECT,
+        address=front_host,
+        port=front_port,
+    )
+    logs.log_change('gateway starts', vm=made.me.vm)
+    await gateway_process.run_until_stopped(
+        made,
+        following.run_membership(made),
+        callers,
+    )
+
+
+def main() -> None:
+    """Start from the command line."""
+    path = os.environ.get(SETTINGS_VARIABLE, '')
+    given = settings.read_settings(pathlib.Path(path))
+    if not isinstance(given, result.Success):
+        sys.stderr.write(f'{given.failure().detail}\n')
+        sys.exit(_EXIT_BAD_SETTINGS)
+    logs.set_up_service_logs()
+    asyncio.run(run_gateway(given.unwrap()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/lentilgauge/platform/settings.py
@@ -0,0 +1,86 @@
+"""Read the settings file that the platform gives each process."""
+
+import pathlib
+
+import msgspec
+from returns import result
+
+from lentilgauge import errors
+from lentilgauge.platform import spans
+from lentilgauge.vms import gateway
+
+
+class Listen(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
+    """Carry the addresses to listen on."""
+
+    front: str
+    ready: str
+    control: str
+
+
+class FileBounds(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
+    """Carry the figures that bound the process, where they concern it."""
+
+    hold_max: str = '10000ms'
+    cold_burst_factor: float = 1.5
+    cold_slack: float = 5
+    retry_budget_ratio: float = 0.2
+    budget_window: str = '10s'
+    #: How many repeats a window allows beside the share of the requests.
+    budget_extra: float = 0
+    drain: str = '2000ms'
+    evacuate: str = '5000ms'
+    grace: str = '6s'
+
+
+class Provider(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
+    """Carry where the platform's store is."""
+
+    address: str
+
+
+class SettingsFile(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
+    """Carry the settings of one process."""
+
+    node: str
+    zone: str
+    listen: Listen
+    seeds: list[str] = []
+    #: True only where the whole system starts for the first time.
+    bootstrap: bool = False
+    bounds: FileBounds = FileBounds()
+    provider: Provider
+
+
+SettingsResult = result.Result[SettingsFile, errors.Failure]
+
+
+def read_settings(path: pathlib.Path) -> SettingsResult:
+    """Read the file; a failure names the file, the field and the fault."""
+    try:
+        return result.Success(
+            msgspec.json.decode(path.read_bytes(), type=SettingsFile),
+        )
+    except (OSError, msgspec.MsgspecError) as fault:
+        return result.Failure(
+            errors.Failure(
+                kind=errors.ErrorKind.BAD_SETTINGS,
+                detail=f'{path}: {fault}',
+            ),
+        )
+
+
+def make_bounds(settings_file: SettingsFile) -> gateway.Bounds:
+    """Translate the figures into the product's."""
+    given = settings_file.bounds
+    return gateway.Bounds(
+        hold_ms=spans.read_span_ms(given.hold_max),
+        cold_burst_factor=given.cold_burst_factor,
+        cold_slack=given.cold_slack,
+        retry_ratio=given.retry_budget_ratio,
+        retry_window_ms=spans.read_span_ms(given.budget_window),
+        retry_extra=given.budget_extra,
+        drain_ms=spans.read_span_ms(given.drain),
+        evacuate_ms=spans.read_span_ms(given.evacuate),
+        grace_ms=spans.read_span_ms(given.grace),
+    )
--- a/src/lentilgauge/services/balance.py
+++ b/src/lentilgauge/services/balance.py
@@ -177,7 +177,7 @@
 
 def _list_edges(plan: Plan, target: str) -> set[int]:
     """List the keys at which the target's ranges could grow."""
-    edges = set()
+    edges: set[int] = set()
     for span in plan.spans_by_id[target]:
         edges.update((span.start, span.end + 1))
     return edges
--- /dev/null
+++ b/src/lentilgauge/vms/assigning.py
@@ -0,0 +1,258 @@
+"""Decide as granter which upstream holds which keys."""
+
+from lentilgauge import logs
+from lentilgauge.contracts import orders
+from lentilgauge.contracts import ownership as ownership_module
+from lentilgauge.links import peer_link
+from lentilgauge.services import balance, key_load, key_ranges
+from lentilgauge.upstreams import roster
+from lentilgauge.vms import granting as granting_module
+
+#: How often it is looked whether keys should move for balance.
+BALANCE_EVERY_MS = 500
+#: Fewer counts than this say nothing about balance.
+_LEAST_COUNTS = 60
+#: Capacity of an upstream in cold start against a warm one.
+_COLD_SHARE = 0.35
+#: How much the newest report of slowness counts.
+_NEWEST_SHARE = 0.1
+_LEAST_SLOWNESS = 0.5
+_MOST_SLOWNESS = 3.0
+
+
+def assign_keys(granting: granting_module.Granting) -> None:
+    """Bring the assignment up to date with what is known."""
+    configuration = granting.gateway.beliefs.configuration
+    if configuration is None or granting.stopped:
+        return
+    changed = False
+    for service in configuration.service_by_name.values():
+        if service.keyed:
+            changed |= _assign_service(granting, service.name)
+    if changed:
+        granting_module.publish(granting, record=True)
+
+
+def _assign_service(
+    granting: granting_module.Granting,
+    service: str,
+) -> bool:
+    eligible = list_eligible(granting, service)
+    if not eligible:
+        return False
+    tables = granting.ownership.table_by_service
+    table = tables.get(service)
+    if table is None:
+        tables[service] = _make_first_table(granting, eligible)
+        return True
+    changed = _replace_holders(granting, table, eligible)
+    changed |= _balance(granting, service, table, eligible)
+    if not granting.task_by_range:
+        changed |= key_ranges.join_ranges(
+            table,
+            lambda: ownership_module.allot_fence(granting.ownership),
+        )
+    return changed
+
+
+def list_eligible(
+    granting: granting_module.Granting,
+    service: str,
+) -> dict[str, roster.Upstream]:
+    """List the upstreams that may be given keys."""
+    beliefs = granting.gateway.beliefs
+    at_ms = granting_module.now_ms(granting)
+    return {
+        upstream.id: upstream
+        for upstream in beliefs.upstream_by_id.values()
+        if upstream.service == service
+        and roster.accepts_work(upstream, beliefs.evacuated)
+        and not orders.is_silent(
+            granting.silence_by_id.get(upstream.id),
+            at_ms,
+        )
+    }
+
+
+def _make_first_table(
+    granting: granting_module.Granting,
+    eligible: dict[str, roster.Upstream],
+) -> key_ranges.Table:
+    """Cut the keys equally; nobody can hold any yet."""
+    cut = key_ranges.cut_equally(len(eligible))
+    for one, upstream in zip(cut, eligible.values(), strict=True):
+        _give(granting, one, upstream)
+    logs.log_change('first assignment', upstreams=len(eligible))
+    return key_ranges.make_table(cut)
+
+
+def _give(
+    granting: granting_module.Granting,
+    one: key_ranges.KeyRange,
+    upstream: roster.Upstream,
+) -> None:
+    if one.holder == upstream.id and one.life != upstream.life:
+        # It has started anew and holds nothing of before.
+        one.end_ms = 0
+    key_ranges.hand_over(
+        one,
+        upstream.id,
+        upstream.life,
+        lambda: ownership_module.allot_fence(granting.ownership),
+    )
+
+
+def _replace_holders(
+    granting: granting_module.Granting,
+    table: key_ranges.Table,
+    eligible: dict[str, roster.Upstream],
+) -> bool:
+    """Give the keys of upstreams that can't hold them to others."""
+    orphaned = [
+        one
+        for one in table.ranges
+        if one.holder not in eligible or one.life != eligible[one.holder].life
+    ]
+    if not orphaned:
+        return False
+    capacities = measure_capacities(granting, eligible)
+    load = _get_load(granting, table, capacities)
+    for one in orphaned:
+        if one.holder in eligible:
+            target = one.holder
+        else:
+            target = min(
+                eligible,
+                key=lambda each: load[each] / capacities[each],
+            )
+        logs.log_change(
+            'keys change hands',
+            start=one.start,
+            end=one.end,
+            source=one.holder,
+            target=target,
+            reason='the holder cannot hold them',
+        )
+        _give(granting, one, eligible[target])
+        load[target] += 1 + (one.end - one.start) / key_ranges.KEY_COUNT
+    return True
+
+
+def _get_load(
+    granting: granting_module.Granting,
+    table: key_ranges.Table,
+    capacities: dict[str, float],
+) -> dict[str, float]:
+    """Sum the load of each eligible holder."""
+    load = dict.fromkeys(capacities, 0)
+    total: dict[str, float] = {**load}
+    for one in table.ranges:
+        if one.holder in total:
+            share = (one.end - one.start + 1) / key_ranges.KEY_COUNT
+            total[one.holder] += share * len(capacities)
+    return total
+
+
+def measure_capacities(
+    granting: granting_module.Granting,
+    eligible: dict[str, roster.Upstream],
+) -> dict[str, float]:
+    """Measure how much each upstream can bear against the others."""
+    at_ms = granting_module.now_ms(granting)
+    return {
+        upstream.id: _measure_capacity(granting, upstream, at_ms)
+        for upstream in eligible.values()
+    }
+
+
+def _measure_capacity(
+    granting: granting_module.Granting,
+    upstream: roster.Upstream,
+    at_ms: int,
+) -> float:
+    capacity = upstream.concurrency / granting.slowness_by_id.get(
+        upstream.id,
+        1,
+    )
+    if upstream.warm_ms > at_ms:
+        return capacity * _COLD_SHARE
+    return capacity
+
+
+def _balance(
+    granting: granting_module.Granting,
+    service: str,
+    table: key_ranges.Table,
+    eligible: dict[str, roster.Upstream],
+) -> bool:
+    """Move keys from upstreams that are far busier than others."""
+    at_ms = granting_module.now_ms(granting)
+    load = granting.load_by_service.get(service)
+    if load is None or at_ms < granting.balance_ms:
+        return False
+    granting.balance_ms = at_ms + BALANCE_EVERY_MS
+    key_load.fade(load, at_ms)
+    weighted = key_load.list_weights(load)
+    if sum(weight for _, weight in weighted) < _LEAST_COUNTS:
+        return False
+    moves = balance.plan_moves(
+        table,
+        weighted,
+        measure_capacities(granting, eligible),
+    )
+    for move in moves:
+        for one in key_ranges.split_range(table, move.start, move.end):
+            _give(granting, one, eligible[move.target])
+        logs.log_change(
+            'keys change hands',
+            start=move.start,
+            end=move.end,
+            source=move.source,
+            target=move.target,
+            reason='load',
+        )
+    return bool(moves)
+
+
+def take_report(
+    granting: granting_module.Granting,
+    report: peer_link.Report,
+) -> None:
+    """Take what a VM has counted."""
+    for service, counts in report.counts_by_service.items():
+        load = granting.load_by_service.setdefault(
+            service,
+            key_load.KeyLoad(faded_ms=granting_module.now_ms(granting)),
+        )
+        for key, count in counts:
+            key_load.add_count(load, key, count)
+    for upstream_id, counted in report.report_by_upstream.items():
+        _take_upstream_report(granting, upstream_id, counted)
+
+
+def _take_upstream_report(
+    granting: granting_module.Granting,
+    upstream_id: str,
+    counted: peer_link.UpstreamReport,
+) -> None:
+    if counted.executed:
+        known = granting.slowness_by_id.get(upstream_id, 1)
+        share = 1 - (1 - _NEWEST_SHARE) ** counted.executed
+        known += (counted.slowness / counted.executed - known) * share
+        granting.slowness_by_id[upstream_id] = min(
+            max(known, _LEAST_SLOWNESS),
+            _MOST_SLOWNESS,
+        )
+    if counted.moved:
+        _renew_soon(granting, upstream_id)
+
+
+def _renew_soon(
+    granting: granting_module.Granting,
+    upstream_id: str,
+) -> None:
+    """Renew an upstream's keys at once: it says that it holds them not."""
+    for table in granting.ownership.table_by_service.values():
+        for one in key_ranges.list_held(table, upstream_id):
+            if one.served:
+                one.renew_ms = 0
--- a/src/lentilgauge/vms/beliefs.py
+++ b/src/lentilgauge/vms/beliefs.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from lentilgauge import clock, logs
 from lentilgauge.contracts import ownership as ownership_module
@@ -27,16 +27,18 @@
     """
 
     read_configuration: Callable[[object], routes.Configuration | None]
-    read_upstream: Callable[
-        [store_link.Document, int], roster.Upstream | None
-    ]
+    read_upstream: Callable[[store_link.Document, int], roster.Upstream | None]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Section:
-    """Hold one topic's objects as of a mark."""
+    """Hold one topic's objects as of a mark, the store's revision.
+
+    `edits` counts what was dropped since without the store's word.
+    """
 
     mark: int = 0
+    edits: int = 0
     document_by_name: dict[str, store_link.Document] = dataclasses.field(
         default_factory=dict,
     )
@@ -46,7 +48,7 @@
 class Beliefs:
     """Hold all that a VM knows.
 
-    `fresh_ms` is when what is known was last confirmed to be current.
+    `fresh_ms` is when the granter was last heard of, by whatever way.
     `leaving_ms_by_id` is when an upstream was first seen to be leaving.
     """
 
@@ -62,6 +64,9 @@
     )
     leaving_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
     evacuated: frozenset[str] = frozenset()
+    evacuated_ms_by_domain: dict[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
     ownership: ownership_module.Ownership = dataclasses.field(
         default_factory=ownership_module.Ownership,
     )
@@ -119,13 +124,15 @@
     topic: store_link.Topic,
     mark: int,
     document_by_name: Mapping[str, store_link.Document],
+    edits: int = 0,
 ) -> bool:
     """Take a whole topic if it is newer than what is known."""
     section = beliefs.section_by_topic[topic]
-    if mark <= section.mark:
+    if (mark, edits) <= (section.mark, section.edits):
         return False
     changed = section.document_by_name != document_by_name
     section.mark = mark
+    section.edits = edits
     if changed:
         section.document_by_name = dict(document_by_name)
         _adopt(beliefs, topic)
@@ -142,6 +149,7 @@
     if changes.mark <= section.mark:
         return False
     section.mark = changes.mark
+    section.edits = 0
     for change in changes.changes:
         if change.removed:
             section.document_by_name.pop(change.document.name, None)
@@ -152,6 +160,22 @@
     return bool(changes.changes)
 
 
+def drop_documents(
+    beliefs: Beliefs,
+    topic: store_link.Topic,
+    names: Iterable[str],
+) -> None:
+    """Drop objects that are taken to be gone.
+
+    The mark grows with it, so that VMs that follow this one drop them too.
+    """
+    section = beliefs.section_by_topic[topic]
+    for name in names:
+        section.document_by_name.pop(name, None)
+    section.edits += 1
+    _adopt(beliefs, topic)
+
+
 def take_ownership(
     beliefs: Beliefs,
     record: ownership_module.Record,
@@ -172,11 +196,20 @@
     elif topic is store_link.Topic.UPSTREAMS:
         _adopt_upstreams(beliefs, section)
     else:
-        beliefs.evacuated = frozenset(section.document_by_name)
+        _adopt_evacuations(beliefs, section)
         logs.log_change('evacuations', domains=sorted(beliefs.evacuated))
     note_change(beliefs)
 
 
+def _adopt_evacuations(beliefs: Beliefs, section: Section) -> None:
+    beliefs.evacuated = frozenset(section.document_by_name)
+    known = beliefs.evacuated_ms_by_domain
+    now_ms = beliefs.now_ms()
+    beliefs.evacuated_ms_by_domain = {
+        domain: known.get(domain, now_ms) for domain in beliefs.evacuated
+    }
+
+
 def _adopt_configuration(beliefs: Beliefs, section: Section) -> None:
     known = beliefs.configuration
     for document in section.document_by_name.values():
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -6,10 +6,11 @@
 import random
 
 from lentilgauge import clock, metrics
+from lentilgauge.callers import retry_budget, waiting
 from lentilgauge.contracts import ownership
 from lentilgauge.links import http_client, peer_link, store_link, upstream_link
 from lentilgauge.services import routes
-from lentilgauge.upstreams import loads
+from lentilgauge.upstreams import loads, roster
 from lentilgauge.vms import beliefs as beliefs_module
 
 #: A VM that hasn't been heard of for so long no longer counts.
@@ -69,7 +70,14 @@
     now_ms: clock.Clock
     random: random.Random
     loads: loads.Loads
+    budget_by_service: dict[str, retry_budget.RetryBudget] = dataclasses.field(
+        default_factory=dict,
+    )
+    room_by_service: dict[str, waiting.WaitingRoom] = dataclasses.field(
+        default_factory=dict,
+    )
     counts: Counts = dataclasses.field(default_factory=Counts)
+    reports: list[peer_link.Report] = dataclasses.field(default_factory=list)
     peer_by_vm: dict[str, peer_link.Peer] = dataclasses.field(
         default_factory=dict,
     )
@@ -154,12 +162,57 @@
 
 
 def make_view(gateway: Gateway) -> peer_link.ViewMessage:
-    """Say whom this VM holds for the granter."""
+    """Say whom this VM holds for the granter, and when it last heard of it."""
     known = gateway.beliefs.ownership
+    age_ms = (
+        0 if gateway.grants else gateway.now_ms() - gateway.beliefs.fresh_ms
+    )
     return peer_link.ViewMessage(
         peer=gateway.me,
         term=known.term,
         granter=known.granter,
-        age_ms=gateway.now_ms() - gateway.beliefs.fresh_ms,
+        age_ms=age_ms,
         grants=gateway.grants,
     )
+
+
+def count_vms(gateway: Gateway) -> int:
+    """Count the VMs that share what upstreams can bear, this one included."""
+    return len(list_live_peers(gateway)) + 1
+
+
+def get_room(gateway: Gateway, service: str) -> waiting.WaitingRoom:
+    """Get where a service's requests wait."""
+    return gateway.room_by_service.setdefault(service, waiting.WaitingRoom())
+
+
+def admit_waiters(gateway: Gateway, service: str) -> None:
+    """Give room on a service's upstreams to those who wait for it."""
+    room = gateway.room_by_service.get(service)
+    if room is not None and room.waiters:
+        waiting.expire_waiters(room, gateway.now_ms())
+        waiting.admit_waiters(room)
+
+
+def admit_all_waiters(gateway: Gateway) -> None:
+    """Look for room for all who wait."""
+    for service in gateway.room_by_service:
+        admit_waiters(gateway, service)
+
+
+def share_cold_rate(gateway: Gateway, upstream: roster.Upstream) -> float:
+    """Find how many requests a second this VM may send a cold upstream."""
+    configuration = gateway.beliefs.configuration
+    if configuration is None:
+        return 0
+    service = configuration.service_by_name.get(upstream.service)
+    if service is None:
+        return 0
+    bounds = gateway.bounds
+    rate = service.cold_per_second * bounds.cold_burst_factor
+    vms = sorted((*gateway.peer_by_vm, gateway.me.vm))
+    return loads.share_cold_rate(
+        rate + bounds.cold_slack,
+        len(vms),
+        vms.index(gateway.me.vm),
+    )
--- /dev/null
+++ b/src/lentilgauge/vms/gateway_process.py
@@ -0,0 +1,104 @@
+"""Run a gateway's jobs, and stop it without cutting a request off."""
+
+import asyncio
+import signal
+from collections.abc import Coroutine
+
+from tornado import httpserver
+
+from lentilgauge import clock, errors, logs
+from lentilgauge.links import http_server
+from lentilgauge.vms import beliefs as beliefs_module
+from lentilgauge.vms import gateway as gateway_module
+
+#: How often those who wait for room are looked at beside other events.
+TICK_MS = 25
+#: How long callers may still come after the stop was announced: the balancer
+#: asks once a second and takes two misses to notice.
+NOTICE_MS = 2600
+#: The last part of the grace is left to close connections.
+_GRACE_SHARE = 0.8
+_LOOK_EVERY_MS = 50
+
+
+def make_ready_routes(
+    gateway: gateway_module.Gateway,
+    path: str,
+) -> dict[http_server.Route, http_server.Responder]:
+    """Make the route on which the balancer asks."""
+
+    async def tell(_: http_server.Request) -> http_server.Response:
+        if is_ready(gateway):
+            return http_server.respond_text('ready\n')
+        return http_server.respond_failure(
+            errors.Failure(
+                kind=errors.ErrorKind.LEAVING,
+                detail='this gateway takes no new callers',
+            ),
+        )
+
+    return {http_server.Route('GET', path): tell}
+
+
+def is_ready(gateway: gateway_module.Gateway) -> bool:
+    """Tell whether callers should come here."""
+    return not gateway.leaving and gateway.beliefs.configuration is not None
+
+
+async def _look_after_waiters(gateway: gateway_module.Gateway) -> None:
+    while True:
+        await beliefs_module.wait_for_change(gateway.beliefs, TICK_MS)
+        gateway_module.admit_all_waiters(gateway)
+        await asyncio.sleep(0)
+
+
+async def run_until_stopped(
+    gateway: gateway_module.Gateway,
+    membership: Coroutine[object, object, None],
+    callers: httpserver.HTTPServer,
+) -> None:
+    """Run until told to stop; then serve out what was begun."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    # Settings that bind the process don't change while it runs.
+    loop.add_signal_handler(
+        signal.SIGHUP,
+        lambda: logs.log_change('settings are unchanged'),
+    )
+    jobs = [
+        asyncio.ensure_future(membership),
+        asyncio.ensure_future(_look_after_waiters(gateway)),
+    ]
+    stopping = asyncio.ensure_future(stop.wait())
+    await asyncio.wait(
+        (stopping, *jobs),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    for job in jobs:
+        if job.done():
+            # A job never ends by itself: this raises what broke it.
+            job.result()
+    await _serve_out(gateway, callers)
+    for job in jobs:
+        job.cancel()
+
+
+async def _serve_out(
+    gateway: gateway_module.Gateway,
+    callers: httpserver.HTTPServer,
+) -> None:
+    gateway.leaving = True
+    beliefs_module.note_change(gateway.beliefs)
+    logs.log_change('gateway stops', in_flight=gateway.in_flight)
+    started_ms = gateway.now_ms()
+    last_ms = started_ms + int(gateway.bounds.grace_ms * _GRACE_SHARE)
+    quiet_ms = started_ms + NOTICE_MS
+    while gateway.now_ms() < last_ms:
+        await asyncio.sleep(clock.to_seconds(_LOOK_EVERY_MS))
+        if gateway.now_ms() >= quiet_ms and not gateway.in_flight:
+            break
+    callers.stop()
+    await callers.close_all_connections()
+    logs.log_change('gateway has stopped', in_flight=gateway.in_flight)
--- /dev/null
+++ b/src/lentilgauge/vms/granting.py
@@ -0,0 +1,403 @@
+"""Hold a granter's state, and send its orders.
+
+A granter first records what it is about to grant, then releases at the
+earlier holder, then grants. A range is unserved from the decision until the
+new holder has accepted.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Coroutine
+
+from returns import result
+
+from lentilgauge import clock, logs
+from lentilgauge.contracts import orders
+from lentilgauge.contracts import ownership as ownership_module
+from lentilgauge.links import store_link, upstream_link
+from lentilgauge.services import key_load, key_ranges
+from lentilgauge.upstreams import roster
+from lentilgauge.vms import beliefs as beliefs_module
+from lentilgauge.vms import gateway as gateway_module
+
+#: The pause before a release or a grant is tried again.
+_RETRY_MS = 100
+#: How long what needs no record before an order may wait for the next write.
+_LAZY_WRITE_MS = 400
+_WRITE_RETRY_MS = 150
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Granting:
+    """Hold what a granter has granted in its term.
+
+    `recorded_fence` is under which all fencing tokens are in the record.
+    `confirmed_ms` is when the store last confirmed the term, by the moment
+    at which it was asked. `inherited_end_ms` is by when whatever earlier
+    granters may have granted has ended.
+    """
+
+    gateway: gateway_module.Gateway
+    ownership: ownership_module.Ownership
+    revision: int
+    recorded_fence: int
+    recorded_serial: int
+    confirmed_ms: int
+    predecessor: ownership_module.Granter
+    inherited_end_ms: int
+    confirmed: bool = True
+    stopped: bool = False
+    write_due: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    lazy_ms: int = 0
+    silence_by_id: dict[str, orders.Silence] = dataclasses.field(
+        default_factory=dict,
+    )
+    upstream_by_id: dict[str, roster.Upstream] = dataclasses.field(
+        default_factory=dict,
+    )
+    load_by_service: dict[str, key_load.KeyLoad] = dataclasses.field(
+        default_factory=dict,
+    )
+    slowness_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
+    joined_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    task_by_range: dict[int, asyncio.Task[None]] = dataclasses.field(
+        default_factory=dict,
+    )
+    balance_ms: int = 0
+    seen_topics: set[store_link.Topic] = dataclasses.field(
+        default_factory=set,
+    )
+
+
+def now_ms(granting: Granting) -> int:
+    """Read the granter's clock."""
+    return granting.gateway.now_ms()
+
+
+def may_order(granting: Granting) -> bool:
+    """Tell whether this granter may still send orders."""
+    if granting.stopped:
+        return False
+    age_ms = now_ms(granting) - granting.confirmed_ms
+    return age_ms < orders.CONFIRM_LAPSE_MS
+
+
+def publish(granting: Granting, *, record: bool) -> None:
+    """Tell the other VMs what has changed, and record it.
+
+    What orders depend on is recorded at once, the rest soon.
+    """
+    granting.ownership.serial += 1
+    if record:
+        granting.write_due.set()
+    elif not granting.lazy_ms:
+        granting.lazy_ms = now_ms(granting) + _LAZY_WRITE_MS
+    beliefs = granting.gateway.beliefs
+    beliefs.ownership = granting.ownership
+    beliefs_module.note_change(beliefs)
+
+
+async def write_record(granting: Granting) -> None:
+    """Keep the record up to date, for as long as the granter lives."""
+    while not granting.stopped:
+        if not granting.write_due.is_set():
+            await _wait_for_write(granting)
+        if granting.lazy_ms and now_ms(granting) >= granting.lazy_ms:
+            granting.write_due.set()
+        if granting.write_due.is_set() and not await _write_once(granting):
+            await asyncio.sleep(clock.to_seconds(_WRITE_RETRY_MS))
+
+
+async def _wait_for_write(granting: Granting) -> None:
+    left_ms = _LAZY_WRITE_MS
+    if granting.lazy_ms:
+        left_ms = max(granting.lazy_ms - now_ms(granting), 1)
+    try:
+        await asyncio.wait_for(
+            granting.write_due.wait(),
+            clock.to_seconds(left_ms),
+        )
+    except TimeoutError:
+        return
+
+
+async def _write_once(granting: Granting) -> bool:
+    """Write the record as it is now; tell whether that is settled."""
+    granting.write_due.clear()
+    granting.lazy_ms = 0
+    asked_ms = now_ms(granting)
+    packed = ownership_module.pack_ownership(granting.ownership)
+    written = await granting.gateway.store.write_record(
+        packed,
+        granting.revision,
+    )
+    if isinstance(written, result.Success):
+        note_recorded(granting, packed, written.unwrap().revision, asked_ms)
+        return True
+    granting.write_due.set()
+    if written.failure() is store_link.Failure.CONFLICT:
+        await _settle_conflict(granting, asked_ms)
+    return False
+
+
+def note_recorded(
+    granting: Granting,
+    packed: ownership_module.Record,
+    revision: int,
+    asked_ms: int,
+) -> None:
+    """Note that a record is in the store."""
+    granting.revision = revision
+    granting.recorded_fence = packed.next_fence
+    granting.recorded_serial = packed.serial
+    note_confirmed(granting, asked_ms)
+    beliefs_module.note_change(granting.gateway.beliefs)
+
+
+def note_confirmed(granting: Granting, asked_ms: int) -> None:
+    """Note that the term stood when the store was asked."""
+    granting.confirmed_ms = max(granting.confirmed_ms, asked_ms)
+    if not granting.confirmed:
+        logs.log_change('store confirms the term again')
+    granting.confirmed = True
+
+
+async def _settle_conflict(granting: Granting, asked_ms: int) -> None:
+    """Find out whether another granter or an earlier write of ours won."""
+    read = await granting.gateway.store.read_record()
+    if not isinstance(read, result.Success):
+        return
+    document = read.unwrap()
+    if document is not None:
+        check_record(granting, document, asked_ms)
+
+
+def check_record(
+    granting: Granting,
+    document: store_link.Document,
+    asked_ms: int,
+) -> None:
+    """Take what the store holds: the term stands, or this granter stops."""
+    record = ownership_module.read_record(document.body)
+    if record is None or not _is_mine(granting, record):
+        stop(granting, 'another granter has the term')
+        if record is not None:
+            beliefs_module.take_ownership(granting.gateway.beliefs, record)
+        return
+    if document.revision != granting.revision:
+        # An earlier write took effect although its answer was lost.
+        note_recorded(granting, record, document.revision, asked_ms)
+        return
+    note_confirmed(granting, asked_ms)
+
+
+def _is_mine(
+    granting: Granting,
+    record: ownership_module.Record,
+) -> bool:
+    mine = granting.ownership
+    return record.term == mine.term and record.granter == mine.granter
+
+
+def stop(granting: Granting, reason: str) -> None:
+    """Send no more orders."""
+    if granting.stopped:
+        return
+    granting.stopped = True
+    granting.gateway.grants = False
+    granting.gateway.beliefs.fresh_ms = now_ms(granting)
+    # The record of the next granter has a higher term, so it still counts
+    # as newer than what this process goes on holding for true.
+    granting.gateway.beliefs.ownership = ownership_module.unpack_record(
+        ownership_module.pack_ownership(granting.ownership),
+    )
+    logs.log_change(
+        'granter stops',
+        reason=reason,
+        term=granting.ownership.term,
+    )
+    for task in granting.task_by_range.values():
+        task.cancel()
+    granting.task_by_range.clear()
+    beliefs_module.note_change(granting.gateway.beliefs)
+
+
+def find_longest_hold_ms(granting: Granting) -> int:
+    """Find for how long anything granted may still hold."""
+    ends = [
+        one.end_ms
+        for table in granting.ownership.table_by_service.values()
+        for one in table.ranges
+    ]
+    latest_ms = max((granting.inherited_end_ms, *ends))
+    return max(latest_ms - now_ms(granting), 1)
+
+
+def start_orders(granting: Granting) -> None:
+    """Start the transfers and renewals that are due."""
+    if not may_order(granting):
+        return
+    at_ms = now_ms(granting)
+    for table in granting.ownership.table_by_service.values():
+        for one in table.ranges:
+            if not one.holder or one.fence >= granting.recorded_fence:
+                continue
+            if id(one) in granting.task_by_range:
+                continue
+            if not one.served:
+                _start_task(granting, one, transfer_range(granting, one))
+            elif at_ms >= one.renew_ms:
+                _start_task(granting, one, renew_range(granting, one))
+
+
+def _start_task(
+    granting: Granting,
+    one: key_ranges.KeyRange,
+    job: Coroutine[object, object, None],
+) -> None:
+    task = asyncio.ensure_future(job)
+    granting.task_by_range[id(one)] = task
+
+    def forget(_: object) -> None:
+        if granting.task_by_range.get(id(one)) is task:
+            granting.task_by_range.pop(id(one))
+
+    task.add_done_callback(forget)
+
+
+async def renew_range(granting: Granting, one: key_ranges.KeyRange) -> None:
+    """Renew the holder's right to a range."""
+    reply = await _grant(granting, one)
+    if reply is upstream_link.GrantAnswer.FENCED:
+        await _settle_conflict(granting, now_ms(granting))
+        if not granting.stopped:
+            # The term stands, so a late write of ours has used the token.
+            one.fence = ownership_module.allot_fence(granting.ownership)
+            publish(granting, record=True)
+
+
+async def transfer_range(granting: Granting, one: key_ranges.KeyRange) -> None:
+    """Free a range of its earlier holders, then grant it to its holder."""
+    fence = one.fence
+    earlier = list(one.end_ms_by_earlier)
+    await asyncio.gather(
+        *(_free_range(granting, one, upstream_id) for upstream_id in earlier),
+    )
+    while one.fence == fence and may_order(granting):
+        answer = await _grant(granting, one)
+        if one.fence != fence or granting.stopped:
+            return
+        if answer is upstream_link.GrantAnswer.ACCEPTED:
+            one.served = True
+            one.handover = ''
+            publish(granting, record=False)
+            return
+        if answer is upstream_link.GrantAnswer.FENCED:
+            await renew_range(granting, one)
+            return
+        await asyncio.sleep(clock.to_seconds(_RETRY_MS))
+
+
+async def _free_range(
+    granting: Granting,
+    one: key_ranges.KeyRange,
+    upstream_id: str,
+) -> None:
+    """Wait until an earlier holder has released or its right has ended."""
+    while upstream_id in one.end_ms_by_earlier:
+        end_ms = max(
+            one.end_ms_by_earlier[upstream_id],
+            granting.inherited_end_ms,
+        )
+        if now_ms(granting) >= end_ms:
+            break
+        if not may_order(granting):
+            await asyncio.sleep(clock.to_seconds(_RETRY_MS))
+            continue
+        reply = await _release(granting, one, upstream_id)
+        if reply.answer is upstream_link.GrantAnswer.ACCEPTED:
+            one.handover = reply.handover or one.handover
+            break
+        await asyncio.sleep(clock.to_seconds(_RETRY_MS))
+    one.end_ms_by_earlier.pop(upstream_id, None)
+
+
+async def _release(
+    granting: Granting,
+    one: key_ranges.KeyRange,
+    upstream_id: str,
+) -> upstream_link.KeyReply:
+    upstream = granting.upstream_by_id.get(upstream_id)
+    if upstream is None:
+        return upstream_link.KeyReply(
+            answer=upstream_link.GrantAnswer.SILENT,
+        )
+    return await granting.gateway.upstreams.release_keys(
+        upstream_link.KeyOrder(
+            upstream=upstream,
+            start=one.start,
+            end=one.end,
+            fence=one.release_fence,
+            timeout_ms=orders.RELEASE_TIMEOUT_MS,
+        ),
+    )
+
+
+async def _grant(
+    granting: Granting,
+    one: key_ranges.KeyRange,
+) -> upstream_link.GrantAnswer:
+    """Send one grant and note what its answer proves."""
+    upstream = granting.upstream_by_id.get(one.holder)
+    if upstream is None:
+        return upstream_link.GrantAnswer.SILENT
+    hold_ms = orders.choose_hold_ms(
+        confirmed=granting.confirmed,
+        longest_ms=granting.gateway.bounds.hold_ms,
+    )
+    before_ms = orders.note_grant_sent(one, now_ms(granting), hold_ms)
+    fence = one.fence
+    reply = await granting.gateway.upstreams.grant_keys(
+        upstream_link.KeyOrder(
+            upstream=upstream,
+            start=one.start,
+            end=one.end,
+            fence=one.fence,
+            hold_ms=hold_ms,
+            handover=one.handover,
+            timeout_ms=orders.GRANT_TIMEOUT_MS,
+        ),
+    )
+    _note_answer(granting, upstream.id, reply.answer)
+    if reply.answer is upstream_link.GrantAnswer.ACCEPTED:
+        orders.note_grant_accepted(
+            one,
+            now_ms(granting),
+            hold_ms,
+            before_ms,
+        )
+    if one.fence != fence:
+        # Joined with its neighbour meanwhile: the new token is due at once.
+        one.renew_ms = 0
+    return reply.answer
+
+
+def _note_answer(
+    granting: Granting,
+    upstream_id: str,
+    answer: upstream_link.GrantAnswer,
+) -> None:
+    lost = {
+        upstream_link.GrantAnswer.SILENT,
+        upstream_link.GrantAnswer.UNREACHABLE,
+    }
+    if answer not in lost:
+        granting.silence_by_id.pop(upstream_id, None)
+        return
+    granting.gateway.metrics.count('orders_unanswered', answer)
+    orders.note_failure(
+        granting.silence_by_id,
+        upstream_id,
+        now_ms(granting),
+        unreachable=answer is upstream_link.GrantAnswer.UNREACHABLE,
+    )
--- /dev/null
+++ b/src/lentilgauge/vms/leading.py
@@ -0,0 +1,315 @@
+"""Take over as granter, and be it until another is.
+
+One VM grants keys, watches the store for all and passes on what it sees.
+Whoever changes the record from one term to the next is granter; its term ends
+when the store says so, or when it can't be confirmed for too long.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+
+from returns import result
+
+from lentilgauge import clock, logs
+from lentilgauge.contracts import orders
+from lentilgauge.contracts import ownership as ownership_module
+from lentilgauge.links import http_client, peer_link, store_link
+from lentilgauge.vms import assigning, watching
+from lentilgauge.vms import beliefs as beliefs_module
+from lentilgauge.vms import gateway as gateway_module
+from lentilgauge.vms import granting as granting_module
+
+#: How often the store is asked whether the term stands.
+CONFIRM_EVERY_MS = 700
+#: How often the granter looks for orders that are due.
+TICK_MS = 50
+#: How often a granter that the store doesn't answer looks for a VM that the
+#: store does answer.
+_RELIEVE_EVERY_MS = 600
+_ASK_TIMEOUT_MS = 600
+#: Stands for the end of a hold that was granted before this term; when that
+#: is follows from `Granting.inherited_end_ms`.
+HELD_BEFORE_MS = 1
+
+
+async def take_over(
+    gateway: gateway_module.Gateway,
+    document: store_link.Document | None,
+) -> granting_module.Granting | None:
+    """Change the record to a term of this VM's own."""
+    asked_ms = gateway.now_ms()
+    record = _read_record(document)
+    if record is None:
+        logs.log_change('the record of ownership is unreadable')
+        return None
+    held = _prepare_term(gateway, record)
+    revision = 0 if document is None else document.revision
+    packed = ownership_module.pack_ownership(held)
+    written = await gateway.store.write_record(packed, revision)
+    if not isinstance(written, result.Success):
+        logs.log_change('take-over failed', failure=written.failure())
+        return None
+    granting = granting_module.Granting(
+        gateway=gateway,
+        ownership=held,
+        revision=revision,
+        recorded_fence=0,
+        recorded_serial=0,
+        confirmed_ms=asked_ms,
+        predecessor=record.granter,
+        inherited_end_ms=_bound_inherited(gateway, record.granter),
+    )
+    granting_module.note_recorded(
+        granting,
+        packed,
+        written.unwrap().revision,
+        asked_ms,
+    )
+    gateway.grants = True
+    gateway.beliefs.ownership = held
+    beliefs_module.note_change(gateway.beliefs)
+    logs.log_change('granter starts', term=held.term)
+    return granting
+
+
+def _read_record(
+    document: store_link.Document | None,
+) -> ownership_module.Record | None:
+    if document is None:
+        return ownership_module.Record()
+    return ownership_module.read_record(document.body)
+
+
+def _prepare_term(
+    gateway: gateway_module.Gateway,
+    record: ownership_module.Record,
+) -> ownership_module.Ownership:
+    """Make the next term: the same holders under new fencing tokens."""
+    held = ownership_module.unpack_record(record)
+    had_granter = bool(held.term)
+    held.term += 1
+    held.serial += 1
+    held.granter = gateway_module.make_granter(gateway)
+    if had_granter:
+        _renew_tokens(held)
+    return held
+
+
+def _renew_tokens(held: ownership_module.Ownership) -> None:
+    for table in held.table_by_service.values():
+        for one in table.ranges:
+            one.release_fence = ownership_module.allot_fence(held)
+            one.fence = ownership_module.allot_fence(held)
+            one.end_ms = HELD_BEFORE_MS
+            one.end_ms_by_earlier = dict.fromkeys(
+                one.end_ms_by_earlier,
+                HELD_BEFORE_MS,
+            )
+
+
+def _bound_inherited(
+    gateway: gateway_module.Gateway,
+    predecessor: ownership_module.Granter,
+) -> int:
+    """Return by when all that was granted in earlier terms has ended."""
+    if not predecessor.vm:
+        return 0
+    at_ms = gateway.now_ms()
+    if gateway.lead_hold_ms:
+        # The last granter stopped before it asked this VM to take over.
+        span_ms = min(gateway.lead_hold_ms, gateway.bounds.hold_ms)
+        return orders.bound_end_after_stop_ms(at_ms, span_ms)
+    return orders.bound_end_after_takeover_ms(at_ms, gateway.bounds.hold_ms)
+
+
+async def _watch_predecessor(
+    granting: granting_module.Granting,
+    predecessor: ownership_module.Granter,
+) -> None:
+    """Find out when the last granter has stopped, to wait no longer."""
+    gateway = granting.gateway
+    while not granting.stopped:
+        if now_past(granting) or await _has_stopped(gateway, predecessor):
+            break
+        await asyncio.sleep(clock.to_seconds(_RELIEVE_EVERY_MS))
+    granting.inherited_end_ms = min(
+        granting.inherited_end_ms,
+        orders.bound_end_after_stop_ms(
+            gateway.now_ms(),
+            gateway.bounds.hold_ms,
+        ),
+    )
+
+
+def now_past(granting: granting_module.Granting) -> bool:
+    """Tell whether no earlier grant can still hold."""
+    return granting_module.now_ms(granting) >= granting.inherited_end_ms
+
+
+async def _has_stopped(
+    gateway: gateway_module.Gateway,
+    predecessor: ownership_module.Granter,
+) -> bool:
+    """Tell whether the last granter's process surely grants no more."""
+    if predecessor.incarnation == gateway.me.incarnation:
+        return True
+    answered = await peer_link.ask_peer(
+        gateway.client,
+        peer_link.PeerCall(
+            address=predecessor.address,
+            path=peer_link.VIEW_PATH,
+            timeout_ms=_ASK_TIMEOUT_MS,
+        ),
+        peer_link.ViewMessage,
+    )
+    if not isinstance(answered, result.Success):
+        # Where nothing listens any more, the process has ended.
+        return answered.failure() is http_client.LinkFailure.NOT_CONNECTED
+    view: peer_link.ViewMessage = answered.unwrap()
+    if view.peer.incarnation != predecessor.incarnation:
+        return True
+    return not view.grants
+
+
+async def lead(granting: granting_module.Granting) -> None:
+    """Grant and pass on until another VM is granter."""
+    gateway = granting.gateway
+    jobs: list[Coroutine[object, object, None]] = [
+        watching.follow_store(granting),
+        granting_module.write_record(granting),
+        _confirm_term(granting),
+        _relieve(granting),
+        _watch_predecessor(granting, granting.predecessor),
+    ]
+    tasks = [asyncio.ensure_future(job) for job in jobs]
+    try:
+        while not granting.stopped:
+            _check_jobs(tasks)
+            _act(granting)
+            await beliefs_module.wait_for_change(gateway.beliefs, TICK_MS)
+            # Let changes that come together be acted on together.
+            await asyncio.sleep(clock.to_seconds(1))
+    finally:
+        granting_module.stop(granting, 'leading has ended')
+        for task in tasks:
+            task.cancel()
+
+
+def _check_jobs(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        if task.done() and not task.cancelled():
+            # A job ends only with the term: this raises what broke it.
+            task.result()
+
+
+def _act(granting: granting_module.Granting) -> None:
+    """Do what is due now."""
+    gateway = granting.gateway
+    for upstream in gateway.beliefs.upstream_by_id.values():
+        granting.upstream_by_id[upstream.id] = upstream
+    gateway.reports.append(gateway_module.take_report(gateway))
+    for report in gateway.reports:
+        assigning.take_report(granting, report)
+    gateway.reports.clear()
+    if watching.has_seen_all(granting):
+        assigning.assign_keys(granting)
+    granting_module.start_orders(granting)
+    if not granting_module.may_order(granting) and not granting.stopped:
+        logs.log_change('the term is unconfirmed for too long')
+
+
+async def _confirm_term(granting: granting_module.Granting) -> None:
+    """Ask the store again and again whether the term stands."""
+    while not granting.stopped:
+        await asyncio.sleep(clock.to_seconds(CONFIRM_EVERY_MS))
+        asked_ms = granting_module.now_ms(granting)
+        if asked_ms - granting.confirmed_ms < CONFIRM_EVERY_MS:
+            continue
+        read = await granting.gateway.store.read_record()
+        if not isinstance(read, result.Success):
+            _note_unconfirmed(granting)
+            continue
+        document = read.unwrap()
+        if document is not None:
+            granting_module.check_record(granting, document, asked_ms)
+
+
+def _note_unconfirmed(granting: granting_module.Granting) -> None:
+    if granting.confirmed:
+        logs.log_change('store does not confirm the term')
+        for table in granting.ownership.table_by_service.values():
+            for one in table.ranges:
+                # From now on holds are longer: give them at once.
+                one.renew_ms = 0
+    granting.confirmed = False
+
+
+async def _relieve(granting: granting_module.Granting) -> None:
+    """Hand over to a VM that the store answers, or when leaving."""
+    gateway = granting.gateway
+    while not granting.stopped:
+        await asyncio.sleep(clock.to_seconds(TICK_MS))
+        if gateway.leaving:
+            await _hand_over(granting, gateway_module.list_live_peers(gateway))
+        elif not granting.confirmed:
+            await _hand_over(granting, await _find_able_peers(gateway))
+            await asyncio.sleep(clock.to_seconds(_RELIEVE_EVERY_MS))
+
+
+async def _find_able_peers(
+    gateway: gateway_module.Gateway,
+) -> list[peer_link.Peer]:
+    """Ask the other VMs whether the store answers them."""
+    peers = gateway_module.list_live_peers(gateway)
+    answers = await asyncio.gather(
+        *(_ask_about_store(gateway, peer) for peer in peers),
+    )
+    return [
+        peer
+        for peer, reachable in zip(peers, answers, strict=True)
+        if reachable
+    ]
+
+
+async def _ask_about_store(
+    gateway: gateway_module.Gateway,
+    peer: peer_link.Peer,
+) -> bool:
+    answered = await peer_link.ask_peer(
+        gateway.client,
+        peer_link.PeerCall(
+            address=peer.address,
+            path=peer_link.STORE_PATH,
+            timeout_ms=_ASK_TIMEOUT_MS,
+        ),
+        peer_link.StoreMessage,
+    )
+    if not isinstance(answered, result.Success):
+        return False
+    message: peer_link.StoreMessage = answered.unwrap()
+    return message.reachable
+
+
+async def _hand_over(
+    granting: granting_module.Granting,
+    peers: list[peer_link.Peer],
+) -> None:
+    """Stop, then ask another VM to take over."""
+    gateway = granting.gateway
+    if not peers or granting.stopped:
+        return
+    peer = gateway.random.choice(peers)
+    granting_module.stop(granting, f'handing over to {peer.vm}')
+    await peer_link.ask_peer(
+        gateway.client,
+        peer_link.PeerCall(
+            address=peer.address,
+            path=peer_link.LEAD_PATH,
+            timeout_ms=_ASK_TIMEOUT_MS,
+            message=peer_link.LeadMessage(
+                term=granting.ownership.term,
+                hold_ms=granting_module.find_longest_hold_ms(granting),
+            ),
+        ),
+        peer_link.StoreMessage,
+    )
--- /dev/null
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -0,0 +1,134 @@
+"""Answer the questions of other VMs."""
+
+import asyncio
+
+import msgspec
+from returns import result
+
+from lentilgauge import metrics
+from lentilgauge.contracts import ownership as ownership_module
+from lentilgauge.links import http_server, peer_link, store_link
+from lentilgauge.vms import beliefs as beliefs_module
+from lentilgauge.vms import gateway as gateway_module
+
+#: Changes that come within this span go out in one answer.
+GATHER_MS = 3
+#: A longer wait than any VM asks for is cut to this.
+_MOST_WAIT_MS = 1000
+
+METRICS_PATH = '/metrics'
+
+
+def _respond(message: msgspec.Struct) -> http_server.Response:
+    return http_server.Response(body=msgspec.json.encode(message))
+
+
+def make_peer_routes(
+    gateway: gateway_module.Gateway,
+) -> dict[http_server.Route, http_server.Responder]:
+    """Make the routes by which other VMs reach this one."""
+
+    async def follow(request: http_server.Request) -> http_server.Response:
+        message = msgspec.json.decode(
+            request.body,
+            type=peer_link.FollowMessage,
+        )
+        return _respond(await answer_follower(gateway, message))
+
+    async def view(_: http_server.Request) -> http_server.Response:
+        return _respond(gateway_module.make_view(gateway))
+
+    async def check_store(_: http_server.Request) -> http_server.Response:
+        read = await gateway.store.read_record()
+        reachable = isinstance(read, result.Success)
+        return _respond(peer_link.StoreMessage(reachable=reachable))
+
+    async def lead(request: http_server.Request) -> http_server.Response:
+        message = msgspec.json.decode(
+            request.body,
+            type=peer_link.LeadMessage,
+        )
+        gateway.lead_hold_ms = message.hold_ms
+        gateway.asked_to_lead.set()
+        beliefs_module.note_change(gateway.beliefs)
+        return _respond(peer_link.StoreMessage(reachable=True))
+
+    async def show(_: http_server.Request) -> http_server.Response:
+        return http_server.respond_text(metrics.render_text(gateway.metrics))
+
+    return {
+        http_server.Route('POST', peer_link.FOLLOW_PATH): follow,
+        http_server.Route('GET', peer_link.VIEW_PATH): view,
+        http_server.Route('GET', peer_link.STORE_PATH): check_store,
+        http_server.Route('POST', peer_link.LEAD_PATH): lead,
+        http_server.Route('GET', METRICS_PATH): show,
+    }
+
+
+async def answer_follower(
+    gateway: gateway_module.Gateway,
+    message: peer_link.FollowMessage,
+) -> peer_link.FollowReply:
+    """Answer with whatever is newer, once there is something."""
+    gateway_module.note_peer(gateway, message.peer)
+    if gateway.grants:
+        gateway.reports.append(message.report)
+    deadline_ms = gateway.now_ms() + min(message.wait_ms, _MOST_WAIT_MS)
+    while not _has_news(gateway, message):
+        left_ms = deadline_ms - gateway.now_ms()
+        if left_ms <= 0:
+            break
+        await beliefs_module.wait_for_change(gateway.beliefs, left_ms)
+        await asyncio.sleep(GATHER_MS / 1000)
+    return _make_reply(gateway, message)
+
+
+def _has_news(
+    gateway: gateway_module.Gateway,
+    message: peer_link.FollowMessage,
+) -> bool:
+    beliefs = gateway.beliefs
+    known = beliefs.ownership
+    if (known.term, known.serial) > (message.term, message.serial):
+        return True
+    return any(
+        _is_newer(section, message, topic)
+        for topic, section in beliefs.section_by_topic.items()
+    )
+
+
+def _is_newer(
+    section: beliefs_module.Section,
+    message: peer_link.FollowMessage,
+    topic: store_link.Topic,
+) -> bool:
+    mark = message.mark_by_topic.get(topic, (0, 0))
+    return (section.mark, section.edits) > tuple(mark)
+
+
+def _make_reply(
+    gateway: gateway_module.Gateway,
+    message: peer_link.FollowMessage,
+) -> peer_link.FollowReply:
+    beliefs = gateway.beliefs
+    known = beliefs.ownership
+    record = None
+    if (known.term, known.serial) > (message.term, message.serial):
+        record = ownership_module.pack_ownership(known)
+    return peer_link.FollowReply(
+        view=gateway_module.make_view(gateway),
+        record=record,
+        peers=gateway_module.list_live_peers(gateway),
+        section_by_topic={
+            topic: peer_link.SectionMessage(
+                mark=section.mark,
+                edits=section.edits,
+                documents=[
+                    peer_link.pack_document(document)
+                    for document in section.document_by_name.values()
+                ],
+            )
+            for topic, section in beliefs.section_by_topic.items()
+            if _is_newer(section, message, topic)
+        },
+    )
