Wait for upstreams to settle before the first assignment

Cause: the first upstream to register got every key (busiest over mean 4.68 in an 8 s trial). Open: unsafe requests end in 504.

--- a/src/lentilgauge/services/balance.py
+++ b/src/lentilgauge/services/balance.py
@@ -26,6 +26,9 @@
 #: Share of all load that is taken to be spread evenly over the keys, so that
 #: keys not seen yet have some weight.
 _EVEN_SHARE = 0.05
+#: As long as fewer requests than this were counted for each upstream, the
+#: rest is taken to be spread evenly.
+_PRIOR_EACH = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,14 +59,21 @@
     weight: float
 
 
-def make_weights(weighted: Sequence[tuple[int, float]]) -> Weights:
+def make_weights(
+    weighted: Sequence[tuple[int, float]],
+    holders: int,
+) -> Weights:
     """Prepare sums over keys in order."""
     sums = list(itertools.accumulate(weight for _, weight in weighted))
     total = sums[-1] if sums else 0
     return Weights(
         keys=[key for key, _ in weighted],
         sums=[0, *sums],
-        even=max(total, 1) * _EVEN_SHARE / key_ranges.KEY_COUNT,
+        even=max(
+            total * _EVEN_SHARE,
+            _PRIOR_EACH * holders - total,
+        )
+        / key_ranges.KEY_COUNT,
     )
 
 
@@ -93,7 +103,7 @@
     capacity_by_id: Mapping[str, float],
 ) -> list[Move]:
     """Plan moves between the upstreams that have a capacity."""
-    weights = make_weights(weighted)
+    weights = make_weights(weighted, len(capacity_by_id))
     if not capacity_by_id:
         return []
     plan = _make_plan(table, weights, capacity_by_id)
--- a/src/lentilgauge/vms/assigning.py
+++ b/src/lentilgauge/vms/assigning.py
@@ -10,8 +10,10 @@
 
 #: How often it is looked whether keys should move for balance.
 BALANCE_EVERY_MS = 500
-#: Fewer counts than this say nothing about balance.
-_LEAST_COUNTS = 60
+#: The first assignment waits until no upstream has joined for so long, but
+#: not longer than the second span, so that few keys move at the start.
+_SETTLED_MS = 900
+_MOST_UNSETTLED_MS = 3000
 #: Capacity of an upstream in cold start against a warm one.
 _COLD_SHARE = 0.35
 #: How much the newest report of slowness counts.
@@ -43,6 +45,8 @@
     tables = granting.ownership.table_by_service
     table = tables.get(service)
     if table is None:
+        if not _has_settled(granting, service, eligible):
+            return False
         tables[service] = _make_first_table(granting, eligible)
         return True
     changed = _replace_holders(granting, table, eligible)
@@ -55,6 +59,25 @@
     return changed
 
 
+def _has_settled(
+    granting: granting_module.Granting,
+    service: str,
+    eligible: dict[str, roster.Upstream],
+) -> bool:
+    """Tell whether the upstreams of a new service have joined."""
+    at_ms = granting_module.now_ms(granting)
+    joining = granting.joining_by_service.get(service)
+    if joining is None:
+        joining = granting_module.Joining(first_ms=at_ms)
+        granting.joining_by_service[service] = joining
+    if joining.count != len(eligible):
+        joining.count = len(eligible)
+        joining.last_ms = at_ms
+    if at_ms - joining.first_ms >= _MOST_UNSETTLED_MS:
+        return True
+    return at_ms - joining.last_ms >= _SETTLED_MS
+
+
 def list_eligible(
     granting: granting_module.Granting,
     service: str,
@@ -187,14 +210,16 @@
 ) -> bool:
     """Move keys from upstreams that are far busier than others."""
     at_ms = granting_module.now_ms(granting)
-    load = granting.load_by_service.get(service)
-    if load is None or at_ms < granting.balance_ms:
+    due_ms = granting.balance_ms_by_service.get(service, 0)
+    if at_ms < due_ms:
         return False
-    granting.balance_ms = at_ms + BALANCE_EVERY_MS
+    granting.balance_ms_by_service[service] = at_ms + BALANCE_EVERY_MS
+    load = granting.load_by_service.setdefault(
+        service,
+        key_load.KeyLoad(faded_ms=at_ms),
+    )
     key_load.fade(load, at_ms)
     weighted = key_load.list_weights(load)
-    if sum(weight for _, weight in weighted) < _LEAST_COUNTS:
-        return False
     moves = balance.plan_moves(
         table,
         weighted,
--- a/src/lentilgauge/vms/granting.py
+++ b/src/lentilgauge/vms/granting.py
@@ -27,6 +27,15 @@
 _WRITE_RETRY_MS = 150
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Joining:
+    """Hold how the upstreams of a new service come up."""
+
+    first_ms: int
+    last_ms: int = 0
+    count: int = 0
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Granting:
     """Hold what a granter has granted in its term.
@@ -59,11 +68,15 @@
         default_factory=dict,
     )
     slowness_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
-    joined_ms_by_id: dict[str, int] = dataclasses.field(default_factory=dict)
+    joining_by_service: dict[str, Joining] = dataclasses.field(
+        default_factory=dict,
+    )
     task_by_range: dict[int, asyncio.Task[None]] = dataclasses.field(
         default_factory=dict,
     )
-    balance_ms: int = 0
+    balance_ms_by_service: dict[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
     seen_topics: set[store_link.Topic] = dataclasses.field(
         default_factory=set,
     )
