--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -10,9 +10,13 @@
 from tornado import httpserver, httputil, netutil
 
 from lentilgauge import clock, errors
-from lentilgauge.callers import forwarding
-from lentilgauge.links import error_messages, http_server, upstream_data
-from lentilgauge.links import upstream_link
+from lentilgauge.callers import forwarding, gateway_request
+from lentilgauge.links import (
+    error_messages,
+    http_server,
+    upstream_data,
+    upstream_link,
+)
 from lentilgauge.services import key_ranges, routes
 from lentilgauge.vms import gateway as gateway_module
 
@@ -139,7 +143,7 @@
     if not isinstance(read, result.Success):
         _answer_failure(exchange, read.failure())
         return
-    request: forwarding.Request = read.unwrap()
+    request: gateway_request.Request = read.unwrap()
     exchange.route = request.route.name
     served = await forwarding.forward(exchange.gateway, request)
     if isinstance(served, result.Success):
@@ -152,13 +156,13 @@
 def _fail(
     kind: errors.ErrorKind,
     detail: str,
-) -> result.Result[forwarding.Request, errors.Failure]:
+) -> result.Result[gateway_request.Request, errors.Failure]:
     return result.Failure(errors.Failure(kind=kind, detail=detail))
 
 
 def _read_request(
     exchange: Exchange,
-) -> result.Result[forwarding.Request, errors.Failure]:
+) -> result.Result[gateway_request.Request, errors.Failure]:
     configuration = exchange.gateway.beliefs.configuration
     if configuration is None:
         return _fail(
@@ -182,7 +186,7 @@
     exchange: Exchange,
     start_line: httputil.RequestStartLine,
     route: routes.Route,
-) -> result.Result[forwarding.Request, errors.Failure]:
+) -> result.Result[gateway_request.Request, errors.Failure]:
     headers = exchange.headers
     dialect = exchange.dialect
     left_ms = _read_number(headers.get(dialect.deadline_ms, ''))
@@ -197,7 +201,7 @@
         headers.pop(name, None)
     gateway = exchange.gateway
     return result.Success(
-        forwarding.Request(
+        gateway_request.Request(
             id=request_id,
             route=route,
             service=routes.choose_service(
--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -11,9 +11,21 @@
 
 from lentilgauge.services import key_ranges
 
-#: A range as recorded: start, end, holder, life, release fence, fence,
-#: whether it is served, and who may still hold it from earlier.
-RangeRow = tuple[int, int, str, int, int, int, bool, tuple[str, ...]]
+
+class RangeMessage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Carry one range, as a row to be short.
+
+    `earlier` names who may still hold the keys.
+    """
+
+    start: int
+    end: int
+    holder: str
+    life: int
+    release_fence: int
+    fence: int
+    served: bool
+    earlier: tuple[str, ...] = ()
 
 
 class Granter(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,7 +47,7 @@
     serial: int = 0
     next_fence: int = 1
     granter: Granter = Granter()
-    rows_by_service: dict[str, tuple[RangeRow, ...]] = {}
+    rows_by_service: dict[str, tuple[RangeMessage, ...]] = {}
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -71,16 +83,16 @@
     )
 
 
-def _pack_range(one: key_ranges.KeyRange) -> RangeRow:
-    return (
-        one.start,
-        one.end,
-        one.holder,
-        one.life,
-        one.release_fence,
-        one.fence,
-        one.served,
-        tuple(one.end_ms_by_earlier),
+def _pack_range(one: key_ranges.KeyRange) -> RangeMessage:
+    return RangeMessage(
+        start=one.start,
+        end=one.end,
+        holder=one.holder,
+        life=one.life,
+        release_fence=one.release_fence,
+        fence=one.fence,
+        served=one.served,
+        earlier=tuple(one.end_ms_by_earlier),
     )
 
 
@@ -96,7 +108,7 @@
 
 
 def unpack_tables(
-    rows_by_service: Mapping[str, tuple[RangeRow, ...]],
+    rows_by_service: Mapping[str, tuple[RangeMessage, ...]],
 ) -> dict[str, key_ranges.Table]:
     """Unpack every service's ranges."""
     return {
@@ -105,17 +117,16 @@
     }
 
 
-def _unpack_range(row: RangeRow) -> key_ranges.KeyRange:
-    start, end, holder, life, release_fence, fence, served, earlier = row
+def _unpack_range(row: RangeMessage) -> key_ranges.KeyRange:
     return key_ranges.KeyRange(
-        start=start,
-        end=end,
-        holder=holder,
-        life=life,
-        release_fence=release_fence,
-        fence=fence,
-        served=served,
-        end_ms_by_earlier=dict.fromkeys(earlier, 0),
+        start=row.start,
+        end=row.end,
+        holder=row.holder,
+        life=row.life,
+        release_fence=row.release_fence,
+        fence=row.fence,
+        served=row.served,
+        end_ms_by_earlier=dict.fromkeys(row.earlier, 0),
     )
 
 
--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -1,5 +1,6 @@
 """Call HTTP peers through curl and type what went wrong."""
 
+import contextlib
 import dataclasses
 import enum
 import http
@@ -162,6 +163,14 @@
     curl.setopt(pycurl.CUSTOMREQUEST, call.method)
 
 
+def _set_place(curl: pycurl.Curl, call: Call) -> None:
+    curl.setopt(pycurl.URL, call.url)
+    curl.setopt(pycurl.PROXY, '')
+    curl.setopt(pycurl.PATH_AS_IS, 1)
+    if call.target:
+        curl.setopt(pycurl.REQUEST_TARGET, call.target)
+
+
 def _set_bounds(curl: pycurl.Curl, call: Call) -> None:
     timeout_ms = max(call.timeout_ms, 1)
     curl.setopt(pycurl.NOSIGNAL, 1)
@@ -179,11 +188,7 @@
     """Make the function that sets a handle up for one call."""
 
     def prepare(curl: pycurl.Curl) -> None:
-        curl.setopt(pycurl.URL, call.url)
-        curl.setopt(pycurl.PROXY, '')
-        curl.setopt(pycurl.PATH_AS_IS, 1)
-        if call.target:
-            curl.setopt(pycurl.REQUEST_TARGET, call.target)
+        _set_place(curl, call)
         curl.setopt(pycurl.HTTPHEADER, _list_header_lines(call))
         curl.setopt(
             pycurl.PREREQFUNCTION,
@@ -213,11 +218,9 @@
 def _read_headers(receiving: Receiving) -> httputil.HTTPHeaders:
     headers = httputil.HTTPHeaders()
     for line in receiving.lines:
-        try:
+        # An unreadable line names no header that could be passed on.
+        with contextlib.suppress(httputil.HTTPInputError, ValueError):
             headers.parse_line(line.decode('latin-1'))
-        except (httputil.HTTPInputError, ValueError):
-            # An unreadable line names no header that we could pass on.
-            continue
     return headers
 
 
--- a/src/lentilgauge/load/experiment.py
+++ b/src/lentilgauge/load/experiment.py
@@ -8,7 +8,6 @@
 import tempfile
 from collections.abc import Awaitable, Callable, Sequence
 
-
 from lentilgauge import clock
 from lentilgauge.links import http_client
 from lentilgauge.load import (
--- a/src/lentilgauge/load/generator.py
+++ b/src/lentilgauge/load/generator.py
@@ -5,7 +5,6 @@
 import json
 from collections.abc import Callable, Sequence
 
-import pydantic
 from returns import result
 from tornado import httputil
 
--- a/src/lentilgauge/logs.py
+++ b/src/lentilgauge/logs.py
@@ -51,8 +51,9 @@
     }
     if record['exception'] is not None:
         line['exception'] = str(message)
-    packed = msgspec.json.encode(line, enc_hook=str)
-    os.write(sys.stdout.fileno(), packed + b'\n')
+    packed = bytearray(msgspec.json.encode(line, enc_hook=str))
+    packed.extend(b'\n')
+    os.write(sys.stdout.fileno(), packed)
 
 
 def log_change(change: str, **fields: object) -> None:
--- a/src/lentilgauge/platform/objects.py
+++ b/src/lentilgauge/platform/objects.py
@@ -108,11 +108,10 @@
         )
         for service in message.services
     }
-    made = [_make_route(route) for route in message.routes]
-    for route in made:
-        for part in route.parts:
-            if part.service not in service_by_name:
-                raise ValueError(f'{route.name} names no known service')
+    made = [_make_route(given) for given in message.routes]
+    for named in _list_services(made):
+        if named not in service_by_name:
+            raise ValueError(f'no service is called {named}')
     return routes.Configuration(
         version=message.version,
         route_by_place={(route.host, route.prefix): route for route in made},
@@ -124,6 +123,11 @@
     )
 
 
+def _list_services(made: list[routes.Route]) -> set[str]:
+    """List the services that routes name."""
+    return {part.service for route in made for part in route.parts}
+
+
 def _make_route(message: RouteMessage) -> routes.Route:
     parts = tuple(
         routes.Part(service=split.service, weight=split.weight)
--- a/src/lentilgauge/platform/program.py
+++ b/src/lentilgauge/platform/program.py
@@ -14,9 +14,14 @@
 from lentilgauge.callers import gateway_server
 from lentilgauge.links import http_client, http_server, peer_link
 from lentilgauge.platform import headers, objects, settings, store, upstreams
-from lentilgauge.upstreams import loads
-from lentilgauge.vms import beliefs, following, gateway, gateway_process
-from lentilgauge.vms import peer_routes
+from lentilgauge.upstreams import upstream_load
+from lentilgauge.vms import (
+    beliefs,
+    following,
+    gateway,
+    gateway_process,
+    peer_routes,
+)
 
 SETTINGS_VARIABLE = 'LENTILGAUGE_CONFIG'
 _READY_PATH = '/ready'
@@ -61,8 +66,8 @@
         client=client,
         metrics=metrics.Metrics(),
         now_ms=read_boottime_ms,
-        random=random.Random(),
-        loads=loads.Loads(failure_domain=given.zone),
+        random=random.Random(),  # ruff: ignore[suspicious-non-cryptographic-random-usage]
+        loads=upstream_load.Loads(failure_domain=given.zone),
     )
 
 
--- a/src/lentilgauge/platform/store.py
+++ b/src/lentilgauge/platform/store.py
@@ -54,7 +54,7 @@
 class ListingMessage(msgspec.Struct, frozen=True, kw_only=True):
     """Carry a page of objects; `at` is the store's revision."""
 
-    items: list[msgspec.Raw]
+    documents: list[msgspec.Raw] = msgspec.field(name='items')
     at: int
     has_more: bool = msgspec.field(name='hasMore', default=False)
 
@@ -173,19 +173,29 @@
         page = _decode(called.unwrap(), ListingMessage)
         if page is None:
             return result.Failure(store_link.Failure.UNKNOWN)
-        documents = [_read_document(packed) for packed in page.items]
-        for document in documents:
-            document_by_name[document.name] = document
         # What changed after the first page is seen again by the watch.
         mark = mark or page.at
-        if not page.has_more or not documents:
+        after = _take_page(document_by_name, page)
+        if not after:
             break
-        after = documents[-1].name
     return result.Success(
         store_link.Listing(mark=mark, document_by_name=document_by_name),
     )
 
 
+def _take_page(
+    document_by_name: dict[str, store_link.Document],
+    page: ListingMessage,
+) -> str:
+    """Take a page's objects; return after which to go on, or nothing."""
+    last = ''
+    for packed in page.documents:
+        document = _read_document(packed)
+        document_by_name[document.name] = document
+        last = document.name
+    return last if page.has_more else ''
+
+
 def _make_page_path(topic: store_link.Topic, after: str) -> str:
     kind = _KIND_BY_TOPIC[topic]
     if not after:
--- a/src/lentilgauge/platform/upstreams.py
+++ b/src/lentilgauge/platform/upstreams.py
@@ -23,7 +23,7 @@
     `target` is the last key; `fence` is the fencing token.
     """
 
-    startKey: int
+    start: int = msgspec.field(name='startKey')
     target: int
     fence: int
     hold_time: str = ''
@@ -117,9 +117,9 @@
         return upstream_link.Proof.UNKNOWN
     if reply.headers.get(headers.NOT_EXECUTED) is not None:
         return upstream_link.Proof.REFUSED
-    if reply.status < http.HTTPStatus.MULTIPLE_CHOICES:
-        if headers.SEAL not in reply.headers:
-            return upstream_link.Proof.UNKNOWN
+    succeeded = reply.status < http.HTTPStatus.MULTIPLE_CHOICES
+    if succeeded and headers.SEAL not in reply.headers:
+        return upstream_link.Proof.UNKNOWN
     return upstream_link.Proof.EXECUTED
 
 
@@ -150,7 +150,7 @@
     path: str,
 ) -> upstream_link.KeyReply:
     message = GrantMessage(
-        startKey=order.start,
+        start=order.start,
         target=order.end,
         fence=order.fence,
         hold_time=spans.write_span(order.hold_ms) if order.hold_ms else '',
--- a/src/lentilgauge/services/balance.py
+++ b/src/lentilgauge/services/balance.py
@@ -18,6 +18,9 @@
 TOLERATED_EXCESS = 0.25
 #: Counts are random: this many standard deviations above the mean are chance.
 CHANCE_DEVIATIONS = 2.0
+#: A move that joins a range of its target counts as this much closer to what
+#: is wanted, as no further range arises.
+_JOINING_SHARE = 0.8
 #: Moves planned at once; their keys are unserved for a moment.
 MOST_MOVES = 10
 #: Ranges for each upstream beyond which only whole ranges move, as each is
@@ -107,8 +110,9 @@
     if not capacity_by_id:
         return []
     plan = _make_plan(table, weights, capacity_by_id)
-    while len(plan.moves) < MOST_MOVES and _plan_move(plan):
-        continue
+    for _ in range(MOST_MOVES):
+        if not _plan_move(plan):
+            break
     return plan.moves
 
 
@@ -170,17 +174,19 @@
 ) -> Span | None:
     """Choose the span of the source that comes closest to what is wanted."""
     edges = _list_edges(plan, target)
-    best: Span | None = None
-    best_cost = math.inf
-    for held in plan.spans_by_id[source]:
-        for span in _list_options(plan, held, wanted):
-            cost = abs(span.weight - wanted)
-            if span.start in edges or span.end + 1 in edges:
-                # It joins a range of the target: no further range arises.
-                cost *= 0.8
-            if cost < best_cost:
-                best, best_cost = span, cost
-    if best is None or best_cost >= wanted:
+    options = [
+        span
+        for held in plan.spans_by_id[source]
+        for span in _list_options(plan, held, wanted)
+    ]
+
+    def get_cost(span: Span) -> float:
+        cost = abs(span.weight - wanted)
+        joins = span.start in edges or span.end + 1 in edges
+        return cost * _JOINING_SHARE if joins else cost
+
+    best = min(options, key=get_cost, default=None)
+    if best is None or get_cost(best) >= wanted:
         return None
     return best
 
--- a/src/lentilgauge/services/key_ranges.py
+++ b/src/lentilgauge/services/key_ranges.py
@@ -7,6 +7,7 @@
 
 import bisect
 import dataclasses
+import itertools
 from collections.abc import Callable, Iterable
 
 FIRST_KEY = 0
@@ -77,7 +78,7 @@
     edges = [KEY_COUNT * number // parts for number in range(parts + 1)]
     return [
         KeyRange(start=edge, end=following - 1)
-        for edge, following in zip(edges, edges[1:], strict=False)
+        for edge, following in itertools.pairwise(edges)
     ]
 
 
--- a/src/lentilgauge/services/routes.py
+++ b/src/lentilgauge/services/routes.py
@@ -83,13 +83,11 @@
     """
     if len(route.parts) == 1:
         return route.parts[0].service
-    for part in route.parts:
-        held = credit_by_service.get(part.service, 0)
-        credit_by_service[part.service] = held + part.weight
-    chosen = max(
-        route.parts,
-        key=lambda part: credit_by_service[part.service],
-    )
     total = sum(part.weight for part in route.parts)
-    credit_by_service[chosen.service] -= total
-    return chosen.service
+    for each in route.parts:
+        held = credit_by_service.get(each.service, 0)
+        credit_by_service[each.service] = held + each.weight
+    names = [part.service for part in route.parts]
+    chosen = max(names, key=lambda name: credit_by_service[name])
+    credit_by_service[chosen] -= total
+    return chosen
--- a/src/lentilgauge/upstreams/loads.py
+++ b/src/lentilgauge/upstreams/upstream_load.py
@@ -136,7 +136,7 @@
     load = get_load(loads, upstream.id)
     queue = estimate_queue(load, now_ms)
     turns = max(queue + 1 - upstream.concurrency, 0) / upstream.concurrency
-    slowness = load.told.slowness if load.told is not None else 1
+    slowness = 1 if load.told is None else load.told.slowness
     far = 0
     if upstream.failure_domain != loads.failure_domain:
         far = _FAR_COST_MS
--- a/src/lentilgauge/vms/assigning.py
+++ b/src/lentilgauge/vms/assigning.py
@@ -141,13 +141,9 @@
     capacities = measure_capacities(granting, eligible)
     load = _get_load(granting, table, capacities)
     for one in orphaned:
-        if one.holder in eligible:
-            target = one.holder
-        else:
-            target = min(
-                eligible,
-                key=lambda each: load[each] / capacities[each],
-            )
+        target = one.holder
+        if target not in eligible:
+            target = _find_idlest(load, capacities)
         logs.log_change(
             'keys change hands',
             start=one.start,
@@ -161,19 +157,26 @@
     return True
 
 
+def _find_idlest(
+    load: dict[str, float],
+    capacities: dict[str, float],
+) -> str:
+    return min(load, key=lambda each: load[each] / capacities[each])
+
+
 def _get_load(
     granting: granting_module.Granting,
     table: key_ranges.Table,
     capacities: dict[str, float],
 ) -> dict[str, float]:
     """Sum the load of each eligible holder."""
-    load = dict.fromkeys(capacities, 0)
-    total: dict[str, float] = {**load}
+    load: dict[str, float] = dict.fromkeys(capacities, 0)
     for one in table.ranges:
-        if one.holder in total:
-            share = (one.end - one.start + 1) / key_ranges.KEY_COUNT
-            total[one.holder] += share * len(capacities)
-    return total
+        share = (one.end - one.start + 1) / key_ranges.KEY_COUNT
+        held = load.get(one.holder)
+        if held is not None:
+            load[one.holder] = held + share * len(capacities)
+    return load
 
 
 def measure_capacities(
--- a/src/lentilgauge/vms/controller.py
+++ b/src/lentilgauge/vms/controller.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 
-
 from lentilgauge import clock, metrics, settings
 from lentilgauge.contracts import lessor, once, witness
 from lentilgauge.links import http_client, platform, relay
--- a/src/lentilgauge/vms/entry.py
+++ b/src/lentilgauge/vms/entry.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 
-
 from lentilgauge import clock, metrics, settings
 from lentilgauge.callers import kinds, retries
 from lentilgauge.links import http_client, relay
--- a/src/lentilgauge/vms/following.py
+++ b/src/lentilgauge/vms/following.py
@@ -140,12 +140,9 @@
     """Find the granter, or become it."""
     direct_ms = 0
     while True:
-        if gateway.asked_to_lead.is_set():
-            gateway.asked_to_lead.clear()
-            granting = await _try_to_lead(gateway)
-            gateway.lead_hold_ms = 0
-            if granting is not None:
-                return granting
+        granting = await _lead_if_asked(gateway)
+        if granting is not None:
+            return granting
         if await _follow_any(gateway):
             return None
         await _pause_before_leading(gateway)
@@ -160,6 +157,18 @@
         await asyncio.sleep(clock.to_seconds(_RETRY_MS))
 
 
+async def _lead_if_asked(
+    gateway: gateway_module.Gateway,
+) -> granting_module.Granting | None:
+    """Take over from a granter that has stopped and asked for it."""
+    if not gateway.asked_to_lead.is_set():
+        return None
+    gateway.asked_to_lead.clear()
+    granting = await _try_to_lead(gateway)
+    gateway.lead_hold_ms = 0
+    return granting
+
+
 async def _pause_before_leading(gateway: gateway_module.Gateway) -> None:
     span_ms = _OTHER_PAUSE_MS
     pause_ms = gateway.random.uniform(_SEED_PAUSE_MS, span_ms)
@@ -191,16 +200,22 @@
     heard.sort(key=lambda view: (view.term, view.grants), reverse=True)
     for view in heard:
         gateway_module.note_peer(gateway, view.peer)
-        asked = view.peer.address
-        if await follow_once(gateway, asked) is not None:
-            continue
-        if find_granter_address(gateway) == asked:
-            return True
-        address = find_granter_address(gateway)
-        if address and await follow_once(gateway, address) is None:
-            return True
-        await _follow_through(gateway, asked)
-        return False
+        if await follow_once(gateway, view.peer.address) is None:
+            return await _reach_granter(gateway, view.peer.address)
+    return False
+
+
+async def _reach_granter(
+    gateway: gateway_module.Gateway,
+    asked: str,
+) -> bool:
+    """Follow the granter itself, or a VM that was asked in its place."""
+    address = find_granter_address(gateway)
+    if address == asked:
+        return True
+    if address and await follow_once(gateway, address) is None:
+        return True
+    await _follow_through(gateway, asked)
     return False
 
 
@@ -210,22 +225,22 @@
 ) -> None:
     """Follow a VM that hears the granter, as long as it does."""
     logs.log_change('following through another VM', address=address)
-    while is_fresh(gateway) and not gateway.asked_to_lead.is_set():
-        if await follow_once(gateway, address) is not None:
-            break
-        granter = find_granter_address(gateway)
-        if granter == address or not granter:
+    while await follow_once(gateway, address) is None:
+        if gateway.asked_to_lead.is_set() or not is_fresh(gateway):
             break
-        if await _is_reachable(gateway, granter):
+        if await _is_direct(gateway, address):
             break
 
 
-async def _is_reachable(
+async def _is_direct(
     gateway: gateway_module.Gateway,
     address: str,
 ) -> bool:
-    answered = await _ask_view(gateway, address)
-    return answered is not None
+    """Tell whether the granter can be asked without the VM at an address."""
+    granter = find_granter_address(gateway)
+    if granter in {'', address}:
+        return True
+    return await _ask_view(gateway, granter) is not None
 
 
 async def _ask_views(
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -10,7 +10,7 @@
 from lentilgauge.contracts import ownership
 from lentilgauge.links import http_client, peer_link, store_link, upstream_link
 from lentilgauge.services import routes
-from lentilgauge.upstreams import loads, roster
+from lentilgauge.upstreams import roster, upstream_load
 from lentilgauge.vms import beliefs as beliefs_module
 
 #: A VM that hasn't been heard of for so long no longer counts.
@@ -69,7 +69,7 @@
     metrics: metrics.Metrics
     now_ms: clock.Clock
     random: random.Random
-    loads: loads.Loads
+    loads: upstream_load.Loads
     budget_by_service: dict[str, retry_budget.RetryBudget] = dataclasses.field(
         default_factory=dict,
     )
@@ -211,7 +211,7 @@
     bounds = gateway.bounds
     rate = service.cold_per_second * bounds.cold_burst_factor
     vms = sorted((*gateway.peer_by_vm, gateway.me.vm))
-    return loads.share_cold_rate(
+    return upstream_load.share_cold_rate(
         rate + bounds.cold_slack,
         len(vms),
         vms.index(gateway.me.vm),
--- a/src/lentilgauge/vms/granting.py
+++ b/src/lentilgauge/vms/granting.py
@@ -1,27 +1,19 @@
-"""Hold a granter's state, and send its orders.
-
-A granter first records what it is about to grant, then releases at the
-earlier holder, then grants. A range is unserved from the decision until the
-new holder has accepted.
-"""
+"""Hold a granter's state, and keep the record of it."""
 
 import asyncio
 import dataclasses
-from collections.abc import Coroutine
 
 from returns import result
 
 from lentilgauge import clock, logs
 from lentilgauge.contracts import orders
 from lentilgauge.contracts import ownership as ownership_module
-from lentilgauge.links import store_link, upstream_link
-from lentilgauge.services import key_load, key_ranges
+from lentilgauge.links import store_link
+from lentilgauge.services import key_load
 from lentilgauge.upstreams import roster
 from lentilgauge.vms import beliefs as beliefs_module
 from lentilgauge.vms import gateway as gateway_module
 
-#: The pause before a release or a grant is tried again.
-_RETRY_MS = 100
 #: How long what needs no record before an order may wait for the next write.
 _LAZY_WRITE_MS = 400
 _WRITE_RETRY_MS = 150
@@ -149,7 +141,7 @@
         return True
     granting.write_due.set()
     if written.failure() is store_link.Failure.CONFLICT:
-        await _settle_conflict(granting, asked_ms)
+        await settle_conflict(granting, asked_ms)
     return False
 
 
@@ -175,7 +167,7 @@
     granting.confirmed = True
 
 
-async def _settle_conflict(granting: Granting, asked_ms: int) -> None:
+async def settle_conflict(granting: Granting, asked_ms: int) -> None:
     """Find out whether another granter or an earlier write of ours won."""
     read = await granting.gateway.store.read_record()
     if not isinstance(read, result.Success):
@@ -244,173 +236,3 @@
     ]
     latest_ms = max((granting.inherited_end_ms, *ends))
     return max(latest_ms - now_ms(granting), 1)
-
-
-def start_orders(granting: Granting) -> None:
-    """Start the transfers and renewals that are due."""
-    if not may_order(granting):
-        return
-    at_ms = now_ms(granting)
-    for table in granting.ownership.table_by_service.values():
-        for one in table.ranges:
-            if not one.holder or one.fence >= granting.recorded_fence:
-                continue
-            if id(one) in granting.task_by_range:
-                continue
-            if not one.served:
-                _start_task(granting, one, transfer_range(granting, one))
-            elif at_ms >= one.renew_ms:
-                _start_task(granting, one, renew_range(granting, one))
-
-
-def _start_task(
-    granting: Granting,
-    one: key_ranges.KeyRange,
-    job: Coroutine[object, object, None],
-) -> None:
-    task = asyncio.ensure_future(job)
-    granting.task_by_range[id(one)] = task
-
-    def forget(_: object) -> None:
-        if granting.task_by_range.get(id(one)) is task:
-            granting.task_by_range.pop(id(one))
-
-    task.add_done_callback(forget)
-
-
-async def renew_range(granting: Granting, one: key_ranges.KeyRange) -> None:
-    """Renew the holder's right to a range."""
-    reply = await _grant(granting, one)
-    if reply is upstream_link.GrantAnswer.FENCED:
-        await _settle_conflict(granting, now_ms(granting))
-        if not granting.stopped:
-            # The term stands, so a late write of ours has used the token.
-            one.fence = ownership_module.allot_fence(granting.ownership)
-            publish(granting, record=True)
-
-
-async def transfer_range(granting: Granting, one: key_ranges.KeyRange) -> None:
-    """Free a range of its earlier holders, then grant it to its holder."""
-    fence = one.fence
-    earlier = list(one.end_ms_by_earlier)
-    await asyncio.gather(
-        *(_free_range(granting, one, upstream_id) for upstream_id in earlier),
-    )
-    while one.fence == fence and may_order(granting):
-        answer = await _grant(granting, one)
-        if one.fence != fence or granting.stopped:
-            return
-        if answer is upstream_link.GrantAnswer.ACCEPTED:
-            one.served = True
-            one.handover = ''
-            publish(granting, record=False)
-            return
-        if answer is upstream_link.GrantAnswer.FENCED:
-            await renew_range(granting, one)
-            return
-        await asyncio.sleep(clock.to_seconds(_RETRY_MS))
-
-
-async def _free_range(
-    granting: Granting,
-    one: key_ranges.KeyRange,
-    upstream_id: str,
-) -> None:
-    """Wait until an earlier holder has released or its right has ended."""
-    while upstream_id in one.end_ms_by_earlier:
-        end_ms = max(
-            one.end_ms_by_earlier[upstream_id],
-            granting.inherited_end_ms,
-        )
-        if now_ms(granting) >= end_ms:
-            break
-        if not may_order(granting):
-            await asyncio.sleep(clock.to_seconds(_RETRY_MS))
-            continue
-        reply = await _release(granting, one, upstream_id)
-        if reply.answer is upstream_link.GrantAnswer.ACCEPTED:
-            one.handover = reply.handover or one.handover
-            break
-        await asyncio.sleep(clock.to_seconds(_RETRY_MS))
-    one.end_ms_by_earlier.pop(upstream_id, None)
-
-
-async def _release(
-    granting: Granting,
-    one: key_ranges.KeyRange,
-    upstream_id: str,
-) -> upstream_link.KeyReply:
-    upstream = granting.upstream_by_id.get(upstream_id)
-    if upstream is None:
-        return upstream_link.KeyReply(
-            answer=upstream_link.GrantAnswer.SILENT,
-        )
-    return await granting.gateway.upstreams.release_keys(
-        upstream_link.KeyOrder(
-            upstream=upstream,
-            start=one.start,
-            end=one.end,
-            fence=one.release_fence,
-            timeout_ms=orders.RELEASE_TIMEOUT_MS,
-        ),
-    )
-
-
-async def _grant(
-    granting: Granting,
-    one: key_ranges.KeyRange,
-) -> upstream_link.GrantAnswer:
-    """Send one grant and note what its answer proves."""
-    upstream = granting.upstream_by_id.get(one.holder)
-    if upstream is None:
-        return upstream_link.GrantAnswer.SILENT
-    hold_ms = orders.choose_hold_ms(
-        confirmed=granting.confirmed,
-        longest_ms=granting.gateway.bounds.hold_ms,
-    )
-    before_ms = orders.note_grant_sent(one, now_ms(granting), hold_ms)
-    fence = one.fence
-    reply = await granting.gateway.upstreams.grant_keys(
-        upstream_link.KeyOrder(
-            upstream=upstream,
-            start=one.start,
-            end=one.end,
-            fence=one.fence,
-            hold_ms=hold_ms,
-            handover=one.handover,
-            timeout_ms=orders.GRANT_TIMEOUT_MS,
-        ),
-    )
-    _note_answer(granting, upstream.id, reply.answer)
-    if reply.answer is upstream_link.GrantAnswer.ACCEPTED:
-        orders.note_grant_accepted(
-            one,
-            now_ms(granting),
-            hold_ms,
-            before_ms,
-        )
-    if one.fence != fence:
-        # Joined with its neighbour meanwhile: the new token is due at once.
-        one.renew_ms = 0
-    return reply.answer
-
-
-def _note_answer(
-    granting: Granting,
-    upstream_id: str,
-    answer: upstream_link.GrantAnswer,
-) -> None:
-    lost = {
-        upstream_link.GrantAnswer.SILENT,
-        upstream_link.GrantAnswer.UNREACHABLE,
-    }
-    if answer not in lost:
-        granting.silence_by_id.pop(upstream_id, None)
-        return
-    granting.gateway.metrics.count('orders_unanswered', answer)
-    orders.note_failure(
-        granting.silence_by_id,
-        upstream_id,
-        now_ms(granting),
-        unreachable=answer is upstream_link.GrantAnswer.UNREACHABLE,
-    )
--- a/src/lentilgauge/vms/leading.py
+++ b/src/lentilgauge/vms/leading.py
@@ -14,7 +14,7 @@
 from lentilgauge.contracts import orders
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import http_client, peer_link, store_link
-from lentilgauge.vms import assigning, watching
+from lentilgauge.vms import assigning, key_orders, watching
 from lentilgauge.vms import beliefs as beliefs_module
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granting as granting_module
@@ -213,7 +213,7 @@
     gateway.reports.clear()
     if watching.has_seen_all(granting):
         assigning.assign_keys(granting)
-    granting_module.start_orders(granting)
+    key_orders.start_orders(granting)
     if not granting_module.may_order(granting) and not granting.stopped:
         logs.log_change('the term is unconfirmed for too long')
 
