See what a watch keeps back, and answer everyone before the process ends

The store numbers changes in one row, heartbeats apart, so the reading that confirms the term now shows numbers nobody saw, and the topics that may hold them are read again. Ruled out: reading every topic each second, four calls a second at rest. (3) The HTTP library tells of a caller that left only on request: its work went on at the upstream.

--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -7,7 +7,7 @@
 
 import loguru
 from returns import result
-from tornado import httpserver, httputil, netutil
+from tornado import http1connection, httpserver, httputil, netutil
 
 from lentilgauge import clock, errors
 from lentilgauge.callers import forwarding, gateway_request
@@ -83,8 +83,15 @@
         self.chunks.append(chunk)
 
     def finish(self) -> None:
-        """Serve the request once it is whole."""
+        """Serve the request once it is whole.
+
+        From now on the HTTP library tells of a close only if it is asked to.
+        """
+        if isinstance(self.connection, http1connection.HTTP1Connection):
+            self.connection.set_close_callback(self.on_connection_close)
         self.task = asyncio.ensure_future(_serve(self))
+        self.gateway.serving.add(self.task)
+        self.task.add_done_callback(self.gateway.serving.discard)
 
     def on_connection_close(self) -> None:
         """End the work for a caller that has left."""
@@ -124,6 +131,15 @@
     gateway.in_flight += 1
     try:
         await _serve_received(exchange)
+    except asyncio.CancelledError:
+        # Whoever has left gets nothing of this.
+        _answer_failure(
+            exchange,
+            errors.Failure(
+                kind=errors.ErrorKind.UPSTREAM_TIMEOUT,
+                detail='this gateway ends, the request may have run',
+            ),
+        )
     except Exception:
         # The caller must not wait for an answer that will never come.
         loguru.logger.exception('a request failed')
@@ -138,7 +154,22 @@
         gateway.in_flight -= 1
 
 
+def end_exchanges(gateway: gateway_module.Gateway) -> None:
+    """Answer all who still wait, as the process must end now."""
+    for task in tuple(gateway.serving):
+        task.cancel()
+
+
 async def _serve_received(exchange: Exchange) -> None:
+    if exchange.gateway.closing:
+        _answer_failure(
+            exchange,
+            errors.Failure(
+                kind=errors.ErrorKind.LEAVING,
+                detail='this gateway stops, others serve',
+            ),
+        )
+        return
     read = _read_request(exchange)
     if not isinstance(read, result.Success):
         _answer_failure(exchange, read.failure())
--- a/src/lentilgauge/links/store_link.py
+++ b/src/lentilgauge/links/store_link.py
@@ -64,9 +64,17 @@
     changes: tuple[Change, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RecordReading:
+    """Hold the product's record, if there is one, as of the store's mark."""
+
+    mark: int
+    document: Document | None
+
+
 ListingResult = result.Result[Listing, Failure]
 ChangesResult = result.Result[Changes, Failure]
-RecordResult = result.Result[Document | None, Failure]
+RecordResult = result.Result[RecordReading, Failure]
 WriteResult = result.Result[Document, Failure]
 
 
--- a/src/lentilgauge/platform/store.py
+++ b/src/lentilgauge/platform/store.py
@@ -239,15 +239,20 @@
 
 
 async def _read_record(link: Link) -> store_link.RecordResult:
-    called = await _call(link, 'GET', f'{_RECORD_KIND}/{_RECORD_NAME}')
+    """Read the record by its kind, which also tells the store's revision."""
+    called = await _call(link, 'GET', _RECORD_KIND)
     if not isinstance(called, result.Success):
         return result.Failure(called.failure())
-    reply = called.unwrap()
-    if reply.status == http.HTTPStatus.NOT_FOUND:
-        return result.Success(None)
-    if reply.status != http.HTTPStatus.OK:
+    page = _decode(called.unwrap(), ListingMessage)
+    if page is None:
         return result.Failure(store_link.Failure.UNKNOWN)
-    return result.Success(_read_document(reply.body))
+    documents = [_read_document(packed) for packed in page.documents]
+    return result.Success(
+        store_link.RecordReading(
+            mark=page.at,
+            document=documents[0] if documents else None,
+        ),
+    )
 
 
 async def _write_record(
--- a/src/lentilgauge/vms/following.py
+++ b/src/lentilgauge/vms/following.py
@@ -281,7 +281,7 @@
     if not isinstance(read, result.Success):
         gateway.metrics.count('store_failures', read.failure())
         return None
-    document = read.unwrap()
+    document = read.unwrap().document
     if document is not None and _names_newer_granter(gateway, document):
         return None
     return await leading.take_over(gateway, document)
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -56,7 +56,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Gateway:
-    """Hold what a VM knows, whom it knows and what it has in flight."""
+    """Hold what a VM knows, whom it knows and what it has in flight.
+
+    While it is `leaving` it serves whoever still comes; once it is `closing`
+    it only ends what it has begun.
+    """
 
     me: peer_link.Peer
     seeds: tuple[str, ...]
@@ -91,7 +95,9 @@
     )
     lead_hold_ms: int = 0
     leaving: bool = False
+    closing: bool = False
     in_flight: int = 0
+    serving: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
 
 def make_granter(gateway: Gateway) -> ownership.Granter:
--- a/src/lentilgauge/vms/gateway_process.py
+++ b/src/lentilgauge/vms/gateway_process.py
@@ -7,6 +7,7 @@
 from tornado import httpserver
 
 from lentilgauge import clock, errors, logs
+from lentilgauge.callers import gateway_server
 from lentilgauge.links import http_server
 from lentilgauge.vms import beliefs as beliefs_module
 from lentilgauge.vms import gateway as gateway_module
@@ -16,8 +17,11 @@
 #: How long callers may still come after the stop was announced: the balancer
 #: asks once a second and takes two misses to notice.
 NOTICE_MS = 2600
-#: The last part of the grace is left to close connections.
-_GRACE_SHARE = 0.8
+#: How long before the end of the grace no further request is begun: longer
+#: than most deadlines of callers.
+_CLOSE_BEFORE_MS = 2400
+#: How long before the end of the grace whoever still waits is answered.
+_END_BEFORE_MS = 400
 _LOOK_EVERY_MS = 50
 
 
@@ -93,12 +97,25 @@
     beliefs_module.note_change(gateway.beliefs)
     logs.log_change('gateway stops', in_flight=gateway.in_flight)
     started_ms = gateway.now_ms()
-    last_ms = started_ms + int(gateway.bounds.grace_ms * _GRACE_SHARE)
-    quiet_ms = started_ms + NOTICE_MS
-    while gateway.now_ms() < last_ms:
-        await asyncio.sleep(clock.to_seconds(_LOOK_EVERY_MS))
-        if gateway.now_ms() >= quiet_ms and not gateway.in_flight:
-            break
+    end_ms = started_ms + gateway.bounds.grace_ms
+    close_ms = max(started_ms + NOTICE_MS, end_ms - _CLOSE_BEFORE_MS)
+    await _wait_until(gateway, close_ms, started_ms + NOTICE_MS)
+    gateway.closing = True
     callers.stop()
+    await _wait_until(gateway, end_ms - _END_BEFORE_MS, 0)
+    gateway_server.end_exchanges(gateway)
+    await asyncio.sleep(clock.to_seconds(_LOOK_EVERY_MS))
     await callers.close_all_connections()
     logs.log_change('gateway has stopped', in_flight=gateway.in_flight)
+
+
+async def _wait_until(
+    gateway: gateway_module.Gateway,
+    last_ms: int,
+    first_ms: int,
+) -> None:
+    """Wait until nothing is in flight, between two moments."""
+    while gateway.now_ms() < last_ms:
+        if gateway.now_ms() >= first_ms and not gateway.in_flight:
+            break
+        await asyncio.sleep(clock.to_seconds(_LOOK_EVERY_MS))
--- a/src/lentilgauge/vms/granting.py
+++ b/src/lentilgauge/vms/granting.py
@@ -1,6 +1,7 @@
 """Hold a granter's state, and keep the record of it."""
 
 import asyncio
+import collections
 import dataclasses
 
 from returns import result
@@ -17,6 +18,7 @@
 #: How long what needs no record before an order may wait for the next write.
 _LAZY_WRITE_MS = 400
 _WRITE_RETRY_MS = 150
+_KEPT_REVISIONS = 200
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -69,6 +71,9 @@
     balance_ms_by_service: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
+    own_revisions: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=_KEPT_REVISIONS),
+    )
     seen_topics: set[store_link.Topic] = dataclasses.field(
         default_factory=set,
     )
@@ -153,6 +158,7 @@
 ) -> None:
     """Note that a record is in the store."""
     granting.revision = revision
+    granting.own_revisions.append(revision)
     granting.recorded_fence = packed.next_fence
     granting.recorded_serial = packed.serial
     note_confirmed(granting, asked_ms)
@@ -172,7 +178,7 @@
     read = await granting.gateway.store.read_record()
     if not isinstance(read, result.Success):
         return
-    document = read.unwrap()
+    document = read.unwrap().document
     if document is not None:
         check_record(granting, document, asked_ms)
 
--- a/src/lentilgauge/vms/leading.py
+++ b/src/lentilgauge/vms/leading.py
@@ -223,15 +223,14 @@
     while not granting.stopped:
         await asyncio.sleep(clock.to_seconds(CONFIRM_EVERY_MS))
         asked_ms = granting_module.now_ms(granting)
-        if asked_ms - granting.confirmed_ms < CONFIRM_EVERY_MS:
-            continue
         read = await granting.gateway.store.read_record()
         if not isinstance(read, result.Success):
             _note_unconfirmed(granting)
             continue
-        document = read.unwrap()
-        if document is not None:
-            granting_module.check_record(granting, document, asked_ms)
+        reading = read.unwrap()
+        if reading.document is not None:
+            granting_module.check_record(granting, reading.document, asked_ms)
+        await watching.catch_up(granting, reading.mark)
 
 
 def _note_unconfirmed(granting: granting_module.Granting) -> None:
--- a/src/lentilgauge/vms/watching.py
+++ b/src/lentilgauge/vms/watching.py
@@ -14,6 +14,8 @@
 WATCH_MS = 20_000
 #: Changes that come within this span are taken with one call.
 GATHER_MS = 120
+#: A watch delivers within this time what the store has numbered.
+_DELIVERY_MS = 200
 _FIRST_RETRY_MS = 200
 _MOST_RETRY_MS = 1600
 #: For this long after the store's return, entries that lapsed meanwhile may
@@ -33,6 +35,42 @@
     return len(granting.seen_topics) == len(store_link.Topic)
 
 
+async def catch_up(granting: granting_module.Granting, mark: int) -> None:
+    """Read again what a watch has kept back.
+
+    The store numbers all changes in one row, and the granter sees each number
+    in a watch or in the answer to a write of its own. One that it doesn't see
+    within a moment may belong to any topic whose watch has brought nothing
+    since.
+    """
+    if not _list_unseen(granting, mark):
+        return
+    await asyncio.sleep(clock.to_seconds(_DELIVERY_MS))
+    for topic in _list_unseen(granting, mark):
+        logs.log_change('a watch keeps changes back', topic=topic, mark=mark)
+        await list_topic(granting.gateway, topic, returned=False)
+
+
+def _list_unseen(
+    granting: granting_module.Granting,
+    mark: int,
+) -> list[store_link.Topic]:
+    """List the topics that may have changed unseen up to a mark."""
+    sections = granting.gateway.beliefs.section_by_topic
+    seen = set(granting.own_revisions)
+    for section in sections.values():
+        for document in section.document_by_name.values():
+            seen.add(document.revision)
+    return [
+        topic
+        for topic, section in sections.items()
+        if any(
+            revision not in seen
+            for revision in range(section.mark + 1, mark + 1)
+        )
+    ]
+
+
 async def _follow_topic(
     granting: granting_module.Granting,
     topic: store_link.Topic,
--- /dev/null
+++ b/tests/test_gateway_server.py
@@ -0,0 +1,337 @@
+"""Test how a gateway serves callers, with upstreams that a test plays."""
+
+import asyncio
+import dataclasses
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+from tornado import httputil, testing
+
+from lentilgauge import metrics
+from lentilgauge.callers import gateway_server
+from lentilgauge.contracts import ownership
+from lentilgauge.links import (
+    http_client,
+    peer_link,
+    store_link,
+    upstream_link,
+)
+from lentilgauge.services import key_ranges, routes
+from lentilgauge.upstreams import roster, upstream_load
+from lentilgauge.vms import beliefs, gateway
+
+_HOST = 'a.example'
+_DIALECT = gateway_server.Dialect(
+    request_id='X-Id',
+    deadline_ms='X-Deadline',
+    key='X-Key',
+    not_forwarded=('Content-Length',),
+)
+Answer = Callable[[upstream_link.Attempt], Awaitable[upstream_link.Outcome]]
+
+
+class Clock:
+    """Hold a time that a test sets."""
+
+    def __init__(self) -> None:
+        """Start somewhere."""
+        self.now_ms = 1_000_000
+
+    def read(self) -> int:
+        """Read the time."""
+        return self.now_ms
+
+
+async def refuse_store(*_: object) -> object:
+    """Stand for a store that no test here asks."""
+    raise AssertionError('the store is not asked')
+
+
+def make_configuration(*, keyed: bool = False) -> routes.Configuration:
+    """Make a configuration of two routes to one service."""
+    made = [
+        routes.Route(
+            name=name,
+            host=_HOST,
+            prefix=f'/{name}/',
+            idempotent=name == 'read',
+            timeout_ms=900,
+            target_ms=300,
+            rank=0,
+            most_attempts=2,
+            parts=(routes.Part(service='s'),),
+        )
+        for name in ('read', 'write')
+    ]
+    return routes.Configuration(
+        version=1,
+        route_by_place={(one.host, one.prefix): one for one in made},
+        service_by_name={
+            's': routes.Service(
+                name='s',
+                keyed=keyed,
+                health_path='/health',
+                most_connections=10,
+                cold_per_second=5,
+            ),
+        },
+        idle_timeout_ms=1000,
+        header_timeout_ms=1000,
+        most_body_bytes=1000,
+        most_header_bytes=1000,
+    )
+
+
+def make_upstream(name: str, domain: str = 'd') -> roster.Upstream:
+    """Make an upstream that takes work."""
+    return roster.Upstream(
+        id=name,
+        service='s',
+        address=f'{name}:1',
+        failure_domain=domain,
+        concurrency=2,
+        state=roster.State.READY,
+        life=1,
+        warm_ms=0,
+    )
+
+
+class Upstreams:
+    """Answer attempts as a test says, and keep them."""
+
+    def __init__(self) -> None:
+        """Start by executing everything."""
+        self.attempts: list[upstream_link.Attempt] = []
+        self.proofs: list[upstream_link.Proof] = []
+        self.hold: asyncio.Event | None = None
+        self.cancelled = 0
+
+    async def answer(
+        self,
+        attempt: upstream_link.Attempt,
+    ) -> upstream_link.Outcome:
+        """Answer one attempt."""
+        copied = httputil.HTTPHeaders(attempt.headers)
+        self.attempts.append(dataclasses.replace(attempt, headers=copied))
+        if self.hold is not None:
+            try:
+                await self.hold.wait()
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        proof = upstream_link.Proof.EXECUTED
+        if self.proofs:
+            proof = self.proofs.pop(0)
+        return upstream_link.Outcome(
+            proof=proof,
+            status=200,
+            headers=httputil.HTTPHeaders({'X-Seal': 'sealed'}),
+            body=b'done',
+        )
+
+
+def make_gateway(upstreams: Upstreams, clock: Clock) -> gateway.Gateway:
+    """Make a gateway that knows a configuration and two upstreams."""
+    believed = beliefs.make_beliefs(
+        beliefs.Decoders(
+            read_configuration=lambda _: None,
+            read_upstream=lambda *_: None,
+        ),
+        clock.read,
+    )
+    believed.configuration = make_configuration()
+    believed.upstream_by_id = {
+        name: make_upstream(name) for name in ('u0', 'u1')
+    }
+    return gateway.Gateway(
+        me=peer_link.Peer(
+            vm='vm',
+            address='vm:1',
+            failure_domain='d',
+            incarnation='i',
+        ),
+        seeds=(),
+        first_start=True,
+        bounds=gateway.Bounds(
+            hold_ms=10_000,
+            cold_burst_factor=1.5,
+            cold_slack=5,
+            retry_ratio=0.2,
+            retry_window_ms=10_000,
+            retry_extra=60,
+            drain_ms=2000,
+            evacuate_ms=5000,
+            grace_ms=6000,
+        ),
+        beliefs=believed,
+        store=store_link.Store(
+            list_topic=refuse_store,  # type: ignore[arg-type]
+            watch_topic=refuse_store,  # type: ignore[arg-type]
+            read_record=refuse_store,  # type: ignore[arg-type]
+            write_record=refuse_store,  # type: ignore[arg-type]
+        ),
+        upstreams=upstream_link.UpstreamLink(
+            send_attempt=upstreams.answer,
+            grant_keys=refuse_store,  # type: ignore[arg-type]
+            release_keys=refuse_store,  # type: ignore[arg-type]
+        ),
+        client=http_client.make_client(),
+        metrics=metrics.Metrics(),
+        now_ms=clock.read,
+        random=random.Random(1),
+        loads=upstream_load.Loads(failure_domain='d'),
+    )
+
+
+class GatewayServerTest(unittest.IsolatedAsyncioTestCase):
+    """Send callers' requests over sockets."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a gateway on a free port."""
+        self.clock = Clock()
+        self.upstreams = Upstreams()
+        self.gateway = make_gateway(self.upstreams, self.clock)
+        probe, self.port = testing.bind_unused_port()
+        probe.close()
+        self.server = gateway_server.start_gateway_server(
+            self.gateway,
+            _DIALECT,
+            address='127.0.0.1',
+            port=self.port,
+        )
+        self.client = http_client.make_client()
+
+    async def asyncTearDown(self) -> None:
+        """Stop it."""
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    async def send(
+        self,
+        path: str,
+        method: str = 'GET',
+        **headers: str,
+    ) -> http_client.Reply:
+        """Send a request; return the answer."""
+        named = httputil.HTTPHeaders({'Host': _HOST, 'X-Id': 'r1'})
+        for name, text in headers.items():
+            named[name.replace('_', '-')] = text
+        sent = await http_client.send_call(
+            self.client,
+            http_client.Call(
+                method=method,
+                url=f'http://127.0.0.1:{self.port}',
+                target=path,
+                timeout_ms=5000,
+                body=b'b' if method == 'POST' else None,
+                headers=named,
+            ),
+        )
+        return sent.unwrap()
+
+    async def test_a_kept_connection_costs_a_request_no_time(self) -> None:
+        """The time until a caller sends again is not the request's."""
+        await self.send('/read/1', X_Deadline='800')
+        self.clock.now_ms += 60_000
+        reply = await self.send('/read/2', X_Deadline='800')
+        self.assertEqual(reply.status, 200)
+        left = [attempt.left_ms for attempt in self.upstreams.attempts]
+        self.assertEqual(left, [800, 800])
+
+    async def test_a_request_is_passed_on_as_it_came(self) -> None:
+        reply = await self.send('/write/x?y=%20z', 'POST', X_Other='kept')
+        attempt = self.upstreams.attempts[0]
+        self.assertEqual(attempt.target, '/write/x?y=%20z')
+        self.assertEqual(attempt.body, b'b')
+        self.assertEqual(attempt.headers['X-Other'], 'kept')
+        self.assertEqual(attempt.headers['Host'], _HOST)
+        self.assertEqual(reply.body, b'done')
+        self.assertEqual(reply.headers['X-Seal'], 'sealed')
+
+    async def test_no_route_is_404_and_no_configuration_503(self) -> None:
+        self.assertEqual((await self.send('/none/1')).status, 404)
+        self.gateway.beliefs.configuration = None
+        self.assertEqual((await self.send('/none/1')).status, 503)
+
+    async def test_what_may_have_run_is_sent_again_only_if_idempotent(
+        self,
+    ) -> None:
+        self.upstreams.proofs = [upstream_link.Proof.UNKNOWN]
+        self.assertEqual((await self.send('/read/1')).status, 200)
+        self.assertEqual(len(self.upstreams.attempts), 2)
+        self.upstreams.attempts.clear()
+        self.upstreams.proofs = [upstream_link.Proof.UNKNOWN]
+        reply = await self.send('/write/1', 'POST')
+        self.assertEqual(reply.status, 502)
+        self.assertEqual(len(self.upstreams.attempts), 1)
+
+    async def test_what_was_refused_goes_to_another_upstream(self) -> None:
+        self.upstreams.proofs = [upstream_link.Proof.REFUSED]
+        reply = await self.send('/write/1', 'POST')
+        self.assertEqual(reply.status, 200)
+        used = {attempt.upstream.id for attempt in self.upstreams.attempts}
+        self.assertEqual(used, {'u0', 'u1'})
+
+    async def test_a_caller_that_leaves_ends_the_attempt(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(f'GET /read/1 HTTP/1.1\r\nHost: {_HOST}\r\n\r\n'.encode())
+        while not self.upstreams.attempts:
+            await asyncio.sleep(0.001)
+        writer.close()
+        while not self.upstreams.cancelled:
+            await asyncio.sleep(0.001)
+        while self.gateway.in_flight:
+            await asyncio.sleep(0.001)
+        load = self.gateway.loads.load_by_id
+        self.assertEqual(sum(one.in_flight for one in load.values()), 0)
+
+    async def test_whoever_waits_at_the_end_is_answered(self) -> None:
+        """A process that must end says what is known of the request."""
+        self.upstreams.hold = asyncio.Event()
+        asked = asyncio.ensure_future(self.send('/write/1', 'POST'))
+        while not self.upstreams.attempts:
+            await asyncio.sleep(0.001)
+        gateway_server.end_exchanges(self.gateway)
+        self.assertEqual((await asked).status, 504)
+        self.gateway.closing = True
+        reply = await self.send('/write/2', 'POST')
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(len(self.upstreams.attempts), 1)
+
+    async def test_a_key_without_a_holder_waits_and_is_refused(self) -> None:
+        """Refused as not run, with a time to come back; nothing was sent."""
+        believed = self.gateway.beliefs
+        believed.configuration = make_configuration(keyed=True)
+        table = key_ranges.make_table(key_ranges.cut_equally(1))
+        believed.ownership = ownership.Ownership(
+            table_by_service={'s': table},
+        )
+        asked = asyncio.ensure_future(self.send('/write/1', 'POST', X_Key='7'))
+        room = gateway.get_room(self.gateway, 's')
+        while not room.waiters:
+            await asyncio.sleep(0.001)
+        self.clock.now_ms += 500
+        gateway.admit_all_waiters(self.gateway)
+        reply = await asked
+        self.assertEqual(reply.status, 503)
+        self.assertIn('Retry-After', reply.headers)
+        self.assertEqual(self.upstreams.attempts, [])
+
+    async def test_a_waiting_key_is_served_once_it_has_a_holder(self) -> None:
+        believed = self.gateway.beliefs
+        believed.configuration = make_configuration(keyed=True)
+        table = key_ranges.make_table(key_ranges.cut_equally(1))
+        believed.ownership = ownership.Ownership(
+            table_by_service={'s': table},
+        )
+        asked = asyncio.ensure_future(self.send('/write/1', 'POST', X_Key='7'))
+        room = gateway.get_room(self.gateway, 's')
+        while not room.waiters:
+            await asyncio.sleep(0.001)
+        table.ranges[0].holder = 'u1'
+        table.ranges[0].served = True
+        gateway.admit_all_waiters(self.gateway)
+        self.assertEqual((await asked).status, 200)
+        self.assertEqual(self.upstreams.attempts[0].upstream.id, 'u1')
