--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -50,6 +50,28 @@
     rows_by_service: dict[str, tuple[RangeMessage, ...]] = {}
 
 
+class NewsRow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Carry what requests depend on of one range, as a row to be short."""
+
+    start: int
+    end: int
+    holder: str
+    served: bool
+
+
+class News(msgspec.Struct, frozen=True, kw_only=True):
+    """Carry what has changed since a serial of the same term, or all.
+
+    A row takes the place of whatever covered its keys before.
+    """
+
+    term: int
+    serial: int
+    granter: Granter
+    whole: bool
+    rows_by_service: dict[str, list[NewsRow]] = {}
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Ownership:
     """Hold the recorded ownership, unpacked."""
@@ -61,6 +83,9 @@
     table_by_service: dict[str, key_ranges.Table] = dataclasses.field(
         default_factory=dict,
     )
+    published_by_service: dict[str, dict[int, NewsRow]] = dataclasses.field(
+        default_factory=dict,
+    )
 
 
 def allot_fence(ownership: Ownership) -> int:
@@ -103,21 +128,27 @@
         serial=record.serial,
         next_fence=record.next_fence,
         granter=record.granter,
-        table_by_service=unpack_tables(record.rows_by_service),
+        table_by_service=unpack_tables(
+            record.rows_by_service,
+            record.serial,
+        ),
     )
 
 
 def unpack_tables(
     rows_by_service: Mapping[str, tuple[RangeMessage, ...]],
+    serial: int,
 ) -> dict[str, key_ranges.Table]:
     """Unpack every service's ranges."""
     return {
-        service: key_ranges.make_table(_unpack_range(row) for row in rows)
+        service: key_ranges.make_table(
+            _unpack_range(row, serial) for row in rows
+        )
         for service, rows in rows_by_service.items()
     }
 
 
-def _unpack_range(row: RangeMessage) -> key_ranges.KeyRange:
+def _unpack_range(row: RangeMessage, serial: int) -> key_ranges.KeyRange:
     return key_ranges.KeyRange(
         start=row.start,
         end=row.end,
@@ -127,6 +158,7 @@
         fence=row.fence,
         served=row.served,
         end_ms_by_earlier=dict.fromkeys(row.earlier, 0),
+        serial=serial,
     )
 
 
@@ -141,3 +173,72 @@
 def is_newer(one: Ownership, term: int, serial: int) -> bool:
     """Tell whether a term and serial come after what is known."""
     return (term, serial) > (one.term, one.serial)
+
+
+def mark_changes(ownership: Ownership) -> None:
+    """Take the next serial, and mark the ranges that changed with it."""
+    ownership.serial += 1
+    for service, table in ownership.table_by_service.items():
+        published = ownership.published_by_service.get(service, {})
+        rows = {one.start: _make_row(one) for one in table.ranges}
+        for one in table.ranges:
+            if published.get(one.start) != rows[one.start]:
+                one.serial = ownership.serial
+        ownership.published_by_service[service] = rows
+
+
+def _make_row(one: key_ranges.KeyRange) -> NewsRow:
+    return NewsRow(
+        start=one.start,
+        end=one.end,
+        holder=one.holder,
+        served=one.served,
+    )
+
+
+def pack_news(ownership: Ownership, term: int, serial: int) -> News:
+    """Pack what has changed since a term's serial."""
+    whole = term != ownership.term
+    return News(
+        term=ownership.term,
+        serial=ownership.serial,
+        granter=ownership.granter,
+        whole=whole,
+        rows_by_service={
+            service: [
+                _make_row(one)
+                for one in table.ranges
+                if whole or one.serial > serial
+            ]
+            for service, table in ownership.table_by_service.items()
+        },
+    )
+
+
+def take_news(ownership: Ownership, news: News) -> Ownership | None:
+    """Return ownership with news taken; `None` if they don't follow on it."""
+    if not is_newer(ownership, news.term, news.serial):
+        return None
+    if not news.whole and news.term != ownership.term:
+        return None
+    tables = {} if news.whole else ownership.table_by_service
+    for service, rows in news.rows_by_service.items():
+        table = tables.setdefault(service, key_ranges.Table())
+        for row in rows:
+            key_ranges.replace_span(table, _unpack_row(row, news.serial))
+    return Ownership(
+        term=news.term,
+        serial=news.serial,
+        granter=news.granter,
+        table_by_service=tables,
+    )
+
+
+def _unpack_row(row: NewsRow, serial: int) -> key_ranges.KeyRange:
+    return key_ranges.KeyRange(
+        start=row.start,
+        end=row.end,
+        holder=row.holder,
+        served=row.served,
+        serial=serial,
+    )
--- a/src/lentilgauge/links/peer_link.py
+++ b/src/lentilgauge/links/peer_link.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 import http
+import zlib
+from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
 import msgspec
@@ -21,7 +23,13 @@
 LEAD_PATH = '/peer/lead'
 
 
-class Peer(msgspec.Struct, frozen=True, kw_only=True):
+class Peer(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
     """Name a VM's process and where peers reach it."""
 
     vm: str
@@ -30,7 +38,13 @@
     incarnation: str
 
 
-class DocumentMessage(msgspec.Struct, frozen=True, kw_only=True):
+class DocumentMessage(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
     """Carry one object."""
 
     name: str
@@ -38,15 +52,28 @@
     body: object
 
 
-class SectionMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Carry a whole topic as of a mark."""
+class SectionMessage(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
+    """Carry a topic as of a mark: all names, and the objects that changed."""
 
     mark: int
     edits: int
+    names: list[str]
     documents: list[DocumentMessage]
 
 
-class UpstreamReport(msgspec.Struct, frozen=True, kw_only=True):
+class UpstreamReport(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
     """Carry what a VM has seen of one upstream since its last report.
 
     `slowness` is the mean time of executions over the time usual for their
@@ -59,14 +86,26 @@
     moved: int = 0
 
 
-class Report(msgspec.Struct, frozen=True, kw_only=True):
+class Report(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
     """Carry what a VM has counted since its last report."""
 
     counts_by_service: dict[str, list[tuple[int, int]]] = {}
     report_by_upstream: dict[str, UpstreamReport] = {}
 
 
-class FollowMessage(msgspec.Struct, frozen=True, kw_only=True):
+class FollowMessage(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
     """Ask for whatever is newer than the marks."""
 
     peer: Peer
@@ -74,10 +113,17 @@
     term: int
     serial: int
     wait_ms: int
+    peers_digest: int = 0
     report: Report = Report()
 
 
-class ViewMessage(msgspec.Struct, frozen=True, kw_only=True):
+class ViewMessage(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
     """Say whom a VM holds for the granter and how fresh its knowledge is."""
 
     peer: Peer
@@ -87,13 +133,19 @@
     grants: bool
 
 
-class FollowReply(msgspec.Struct, frozen=True, kw_only=True):
-    """Carry what is newer, and the VMs that are known."""
+class FollowReply(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
+    """Carry what is newer; `peers` only if they are not those known."""
 
     view: ViewMessage
     section_by_topic: dict[store_link.Topic, SectionMessage] = {}
-    record: ownership.Record | None = None
-    peers: list[Peer] = []
+    news: ownership.News | None = None
+    peers: list[Peer] | None = None
 
 
 class StoreMessage(msgspec.Struct, frozen=True, kw_only=True):
@@ -167,13 +219,20 @@
 
 def unpack_section(
     message: SectionMessage,
+    known: Mapping[str, store_link.Document],
 ) -> dict[str, store_link.Document]:
-    """Unpack a topic that has arrived."""
-    return {
-        packed.name: store_link.Document(
+    """Unpack a topic, with what is known of the objects that are the same."""
+    unpacked = {name: known[name] for name in message.names if name in known}
+    for packed in message.documents:
+        unpacked[packed.name] = store_link.Document(
             name=packed.name,
             revision=packed.revision,
             body=packed.body,
         )
-        for packed in message.documents
-    }
+    return unpacked
+
+
+def digest_peers(peers: Iterable[Peer]) -> int:
+    """Digest which processes are known, to tell whether two VMs agree."""
+    named = sorted(f'{peer.vm}/{peer.incarnation}' for peer in peers)
+    return zlib.crc32(' '.join(named).encode())
--- a/src/lentilgauge/services/key_ranges.py
+++ b/src/lentilgauge/services/key_ranges.py
@@ -23,6 +23,7 @@
     right has surely ended if it isn't renewed, `earlier` the same of those
     who may still hold the keys, in the granter's clock; both are known to the
     granter alone. `release_fence` is under which they are told to release.
+    `serial` is of the last change that callers' requests depend on.
     """
 
     start: int
@@ -38,6 +39,7 @@
         default_factory=dict,
     )
     handover: str = ''
+    serial: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -171,6 +173,15 @@
     one.handover = ''
 
 
+def replace_span(table: Table, taken: KeyRange) -> None:
+    """Put a range in the place of whatever covers its keys."""
+    inside = split_range(table, taken.start, taken.end)
+    dropped = {one.start for one in inside}
+    kept = [one for one in table.ranges if one.start not in dropped]
+    replaced = make_table((*kept, taken))
+    _replace_ranges(table, replaced.ranges)
+
+
 def list_held(table: Table, holder: str) -> list[KeyRange]:
     """List the ranges of one holder."""
     return [one for one in table.ranges if one.holder == holder]
--- a/src/lentilgauge/vms/beliefs.py
+++ b/src/lentilgauge/vms/beliefs.py
@@ -189,6 +189,16 @@
     return True
 
 
+def take_news(beliefs: Beliefs, news: ownership_module.News) -> bool:
+    """Take what has changed of ownership, if it follows on what is known."""
+    taken = ownership_module.take_news(beliefs.ownership, news)
+    if taken is None:
+        return False
+    beliefs.ownership = taken
+    note_change(beliefs)
+    return True
+
+
 def _adopt(beliefs: Beliefs, topic: store_link.Topic) -> None:
     section = beliefs.section_by_topic[topic]
     if topic is store_link.Topic.CONFIGURATION:
--- a/src/lentilgauge/vms/following.py
+++ b/src/lentilgauge/vms/following.py
@@ -10,7 +10,7 @@
 from lentilgauge.vms import beliefs as beliefs_module
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granting as granting_module
-from lentilgauge.vms import leading, watching
+from lentilgauge.vms import leading, peer_views, watching
 
 #: How long a question waits for news; a report goes with each question.
 FOLLOW_WAIT_MS = 300
@@ -19,7 +19,6 @@
 _MOST_FAILURES = 2
 #: Knowledge older than this is no longer worth following.
 STALE_MS = 1500
-_VIEW_TIMEOUT_MS = 250
 #: Pauses before a VM tries to take over; the seeds go first, so that not all
 #: VMs ask the store at once.
 _SEED_PAUSE_MS = 60
@@ -88,6 +87,7 @@
         term=known.ownership.term,
         serial=known.ownership.serial,
         wait_ms=FOLLOW_WAIT_MS,
+        peers_digest=_digest_others(gateway, address),
         report=gateway_module.take_report(gateway),
     )
     answered = await peer_link.ask_peer(
@@ -115,25 +115,44 @@
 ) -> None:
     """Take what another VM knows better."""
     gateway_module.note_peer(gateway, reply.view.peer)
-    for peer in reply.peers:
-        if peer.vm not in gateway.peer_by_vm:
-            gateway_module.note_peer(gateway, peer)
-        gateway.heard_ms_by_vm[peer.vm] = gateway.now_ms()
+    _take_peers(gateway, reply)
     beliefs = gateway.beliefs
     for topic, section in reply.section_by_topic.items():
+        known = beliefs.section_by_topic[topic].document_by_name
         beliefs_module.take_section(
             beliefs,
             topic,
             section.mark,
-            peer_link.unpack_section(section),
+            peer_link.unpack_section(section, known),
             section.edits,
         )
-    if reply.record is not None:
-        beliefs_module.take_ownership(beliefs, reply.record)
+    if reply.news is not None:
+        beliefs_module.take_news(beliefs, reply.news)
     # Counted from the question, so that waiting can't hide any age.
     beliefs.fresh_ms = max(beliefs.fresh_ms, asked_ms - reply.view.age_ms)
 
 
+def _digest_others(gateway: gateway_module.Gateway, address: str) -> int:
+    """Digest the other VMs but the one that is asked."""
+    return peer_link.digest_peers(
+        peer
+        for peer in gateway_module.list_live_peers(gateway)
+        if peer.address != address
+    )
+
+
+def _take_peers(
+    gateway: gateway_module.Gateway,
+    reply: peer_link.FollowReply,
+) -> None:
+    """Take the VMs that another knows; none told means they are the same."""
+    peers = reply.peers
+    if peers is None:
+        peers = gateway_module.list_live_peers(gateway)
+    for peer in peers:
+        gateway_module.note_peer(gateway, peer)
+
+
 async def seek_granter(
     gateway: gateway_module.Gateway,
 ) -> granting_module.Granting | None:
@@ -177,25 +196,13 @@
     await asyncio.sleep(clock.to_seconds(pause_ms))
 
 
-def _list_addresses(gateway: gateway_module.Gateway) -> list[str]:
-    """List where other VMs may be."""
-    known = {peer.address for peer in gateway.peer_by_vm.values()}
-    known.update(gateway.seeds)
-    known.add(gateway.beliefs.ownership.granter.address)
-    return [
-        address
-        for address in sorted(known)
-        if address and address != gateway.me.address
-    ]
-
-
 async def _follow_any(gateway: gateway_module.Gateway) -> bool:
     """Find a VM that hears the granter, and take what it knows.
 
     Tells whether the granter itself can be followed. While only others hear
     it, they are asked instead of it.
     """
-    views = await _ask_views(gateway)
+    views = await peer_views.ask_views(gateway)
     heard = [view for view in views if view.age_ms < STALE_MS]
     heard.sort(key=lambda view: (view.term, view.grants), reverse=True)
     for view in heard:
@@ -240,35 +247,7 @@
     granter = find_granter_address(gateway)
     if granter in {'', address}:
         return True
-    return await _ask_view(gateway, granter) is not None
-
-
-async def _ask_views(
-    gateway: gateway_module.Gateway,
-) -> list[peer_link.ViewMessage]:
-    answers = await asyncio.gather(
-        *(_ask_view(gateway, address) for address in _list_addresses(gateway)),
-    )
-    return [view for view in answers if view is not None]
-
-
-async def _ask_view(
-    gateway: gateway_module.Gateway,
-    address: str,
-) -> peer_link.ViewMessage | None:
-    answered = await peer_link.ask_peer(
-        gateway.client,
-        peer_link.PeerCall(
-            address=address,
-            path=peer_link.VIEW_PATH,
-            timeout_ms=_VIEW_TIMEOUT_MS,
-        ),
-        peer_link.ViewMessage,
-    )
-    if not isinstance(answered, result.Success):
-        return None
-    view: peer_link.ViewMessage = answered.unwrap()
-    return view
+    return await peer_views.ask_view(gateway, granter) is not None
 
 
 async def _try_to_lead(
--- a/src/lentilgauge/vms/granting.py
+++ b/src/lentilgauge/vms/granting.py
@@ -97,7 +97,7 @@
 
     What orders depend on is recorded at once, the rest soon.
     """
-    granting.ownership.serial += 1
+    ownership_module.mark_changes(granting.ownership)
     if record:
         granting.write_due.set()
     elif not granting.lazy_ms:
--- a/src/lentilgauge/vms/leading.py
+++ b/src/lentilgauge/vms/leading.py
@@ -88,10 +88,10 @@
     held = ownership_module.unpack_record(record)
     had_granter = bool(held.term)
     held.term += 1
-    held.serial += 1
     held.granter = gateway_module.make_granter(gateway)
     if had_granter:
         _renew_tokens(held)
+    ownership_module.mark_changes(held)
     return held
 
 
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -110,25 +110,40 @@
     gateway: gateway_module.Gateway,
     message: peer_link.FollowMessage,
 ) -> peer_link.FollowReply:
-    beliefs = gateway.beliefs
-    known = beliefs.ownership
-    record = None
+    known = gateway.beliefs.ownership
+    news = None
     if (known.term, known.serial) > (message.term, message.serial):
-        record = ownership_module.pack_ownership(known)
+        news = ownership_module.pack_news(known, message.term, message.serial)
+    peers = gateway_module.list_live_peers(gateway)
+    digest = peer_link.digest_peers(
+        peer for peer in peers if peer.vm != message.peer.vm
+    )
     return peer_link.FollowReply(
         view=gateway_module.make_view(gateway),
-        record=record,
-        peers=gateway_module.list_live_peers(gateway),
-        section_by_topic={
-            topic: peer_link.SectionMessage(
+        news=news,
+        peers=None if digest == message.peers_digest else peers,
+        section_by_topic=_pack_sections(gateway, message),
+    )
+
+
+def _pack_sections(
+    gateway: gateway_module.Gateway,
+    message: peer_link.FollowMessage,
+) -> dict[store_link.Topic, peer_link.SectionMessage]:
+    """Pack the topics that are newer, without what the asker has."""
+    packed = {}
+    for topic, section in gateway.beliefs.section_by_topic.items():
+        if _is_newer(section, message, topic):
+            known_mark, _ = message.mark_by_topic.get(topic, (0, 0))
+            documents = section.document_by_name
+            packed[topic] = peer_link.SectionMessage(
                 mark=section.mark,
                 edits=section.edits,
+                names=list(documents),
                 documents=[
                     peer_link.pack_document(document)
-                    for document in section.document_by_name.values()
+                    for document in documents.values()
+                    if document.revision > known_mark
                 ],
             )
-            for topic, section in beliefs.section_by_topic.items()
-            if _is_newer(section, message, topic)
-        },
-    )
+    return packed
--- a/src/lentilgauge/vms/watching.py
+++ b/src/lentilgauge/vms/watching.py
@@ -58,9 +58,9 @@
     """List the topics that may have changed unseen up to a mark."""
     sections = granting.gateway.beliefs.section_by_topic
     seen = set(granting.own_revisions)
-    for section in sections.values():
-        for document in section.document_by_name.values():
-            seen.add(document.revision)
+    for known in sections.values():
+        documents = known.document_by_name.values()
+        seen.update(document.revision for document in documents)
     return [
         topic
         for topic, section in sections.items()
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -20,6 +20,7 @@
 from lentilgauge.services import key_ranges, routes
 from lentilgauge.upstreams import roster, upstream_load
 from lentilgauge.vms import beliefs, gateway
+from tests import conditions
 
 _HOST = 'a.example'
 _DIALECT = gateway_server.Dialect(
@@ -192,8 +193,9 @@
         self.clock = Clock()
         self.upstreams = Upstreams()
         self.gateway = make_gateway(self.upstreams, self.clock)
-        probe, self.port = testing.bind_unused_port()
+        probe, port = testing.bind_unused_port()
         probe.close()
+        self.port = port
         self.server = gateway_server.start_gateway_server(
             self.gateway,
             _DIALECT,
@@ -277,13 +279,10 @@
         self.upstreams.hold = asyncio.Event()
         _, writer = await asyncio.open_connection('127.0.0.1', self.port)
         writer.write(f'GET /read/1 HTTP/1.1\r\nHost: {_HOST}\r\n\r\n'.encode())
-        while not self.upstreams.attempts:
-            await asyncio.sleep(0.001)
+        await conditions.wait_until(lambda: self.upstreams.attempts)
         writer.close()
-        while not self.upstreams.cancelled:
-            await asyncio.sleep(0.001)
-        while self.gateway.in_flight:
-            await asyncio.sleep(0.001)
+        await conditions.wait_until(lambda: self.upstreams.cancelled)
+        await conditions.wait_until(lambda: not self.gateway.in_flight)
         load = self.gateway.loads.load_by_id
         self.assertEqual(sum(one.in_flight for one in load.values()), 0)
 
@@ -291,8 +290,7 @@
         """A process that must end says what is known of the request."""
         self.upstreams.hold = asyncio.Event()
         asked = asyncio.ensure_future(self.send('/write/1', 'POST'))
-        while not self.upstreams.attempts:
-            await asyncio.sleep(0.001)
+        await conditions.wait_until(lambda: self.upstreams.attempts)
         gateway_server.end_exchanges(self.gateway)
         self.assertEqual((await asked).status, 504)
         self.gateway.closing = True
@@ -310,8 +308,7 @@
         )
         asked = asyncio.ensure_future(self.send('/write/1', 'POST', X_Key='7'))
         room = gateway.get_room(self.gateway, 's')
-        while not room.waiters:
-            await asyncio.sleep(0.001)
+        await conditions.wait_until(lambda: room.waiters)
         self.clock.now_ms += 500
         gateway.admit_all_waiters(self.gateway)
         reply = await asked
@@ -328,8 +325,7 @@
         )
         asked = asyncio.ensure_future(self.send('/write/1', 'POST', X_Key='7'))
         room = gateway.get_room(self.gateway, 's')
-        while not room.waiters:
-            await asyncio.sleep(0.001)
+        await conditions.wait_until(lambda: room.waiters)
         table.ranges[0].holder = 'u1'
         table.ranges[0].served = True
         gateway.admit_all_waiters(self.gateway)
--- a/tests/test_key_ranges.py
+++ b/tests/test_key_ranges.py
@@ -98,7 +98,10 @@
         self.random = random.Random(11)
         self.table = make_table(_UPSTREAMS)
         self.fences = Fences()
-        self.capacities = {f'u{n}': 2.0 for n in range(_UPSTREAMS)}
+        self.capacities = dict.fromkeys(
+            (one.holder for one in self.table.ranges),
+            2.0,
+        )
         self.load = key_load.KeyLoad()
 
     def draw(self, count: int) -> list[int]:
