Divide what a cold upstream bears among recorded VMs, and give joiners keys

(1) A VM that had just started knew no other and took a cold upstream's whole rate for its own; after all VMs restart, that is their number times too much. The record now names the VMs that share, and one that isn't named sends nothing to a cold upstream. (2) Keys moved only from an upstream far above the mean, so one that joined under even load got none.

--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -41,12 +41,14 @@
     """Carry the whole of ownership: in the store, and between VMs.
 
     `term` grows with each granter, `serial` with each change inside a term.
+    `vms` names the VMs that share what upstreams can bear, in order.
     """
 
     term: int = 0
     serial: int = 0
     next_fence: int = 1
     granter: Granter = Granter()
+    vms: tuple[str, ...] = ()
     rows_by_service: dict[str, tuple[RangeMessage, ...]] = {}
 
 
@@ -62,13 +64,15 @@
 class News(msgspec.Struct, frozen=True, kw_only=True):
     """Carry what has changed since a serial of the same term, or all.
 
-    A row takes the place of whatever covered its keys before.
+    A row takes the place of whatever covered its keys before; without `vms`
+    the VMs are those of before.
     """
 
     term: int
     serial: int
     granter: Granter
     whole: bool
+    vms: tuple[str, ...] | None = None
     rows_by_service: dict[str, list[NewsRow]] = {}
 
 
@@ -80,6 +84,8 @@
     serial: int = 0
     next_fence: int = 1
     granter: Granter = dataclasses.field(default_factory=Granter)
+    vms: tuple[str, ...] = ()
+    vms_serial: int = 0
     table_by_service: dict[str, key_ranges.Table] = dataclasses.field(
         default_factory=dict,
     )
@@ -101,6 +107,7 @@
         serial=ownership.serial,
         next_fence=ownership.next_fence,
         granter=ownership.granter,
+        vms=ownership.vms,
         rows_by_service={
             service: tuple(_pack_range(one) for one in table.ranges)
             for service, table in ownership.table_by_service.items()
@@ -128,6 +135,8 @@
         serial=record.serial,
         next_fence=record.next_fence,
         granter=record.granter,
+        vms=record.vms,
+        vms_serial=record.serial,
         table_by_service=unpack_tables(
             record.rows_by_service,
             record.serial,
@@ -199,11 +208,13 @@
 def pack_news(ownership: Ownership, term: int, serial: int) -> News:
     """Pack what has changed since a term's serial."""
     whole = term != ownership.term
+    vms_changed = whole or ownership.vms_serial > serial
     return News(
         term=ownership.term,
         serial=ownership.serial,
         granter=ownership.granter,
         whole=whole,
+        vms=ownership.vms if vms_changed else None,
         rows_by_service={
             service: [
                 _make_row(one)
@@ -230,6 +241,8 @@
         term=news.term,
         serial=news.serial,
         granter=news.granter,
+        vms=ownership.vms if news.vms is None else news.vms,
+        vms_serial=ownership.vms_serial if news.vms is None else news.serial,
         table_by_service=tables,
     )
 
--- a/src/lentilgauge/services/balance.py
+++ b/src/lentilgauge/services/balance.py
@@ -142,20 +142,35 @@
 
 def _plan_move(plan: Plan) -> bool:
     """Plan one more move; tell whether there was one worth it."""
-    mean = sum(plan.load_by_id.values()) / sum(plan.capacity_by_id.values())
     source = max(plan.load_by_id, key=lambda one: _relate(plan, one))
     target = min(plan.load_by_id, key=lambda one: _relate(plan, one))
-    excess = plan.load_by_id[source] - mean * plan.capacity_by_id[source]
-    room = mean * plan.capacity_by_id[target] - plan.load_by_id[target]
-    if not is_significant(excess, mean * plan.capacity_by_id[source]):
-        return False
-    span = _choose_span(plan, source, target, min(excess, max(room, 0)))
+    span = _choose_span(
+        plan, source, target, _measure_wanted(plan, source, target)
+    )
     if span is None:
         return False
     _apply(plan, span, source, target)
     return True
 
 
+def _measure_wanted(plan: Plan, source: str, target: str) -> float:
+    """Find how much load should move; nothing if chance explains it.
+
+    Either the source is far above the mean, or the target far below it, as
+    an upstream is that has just joined.
+    """
+    mean = sum(plan.load_by_id.values()) / sum(plan.capacity_by_id.values())
+    usual = mean * plan.capacity_by_id[source]
+    excess = plan.load_by_id[source] - usual
+    room = mean * plan.capacity_by_id[target] - plan.load_by_id[target]
+    if is_significant(excess, usual):
+        return min(excess, max(room, 0))
+    if is_significant(room, mean * plan.capacity_by_id[target]):
+        difference = _relate(plan, source) - _relate(plan, target)
+        return min(room, difference * plan.capacity_by_id[target] / 2)
+    return 0
+
+
 def _relate(plan: Plan, holder: str) -> float:
     return plan.load_by_id[holder] / plan.capacity_by_id[holder]
 
@@ -173,6 +188,8 @@
     wanted: float,
 ) -> Span | None:
     """Choose the span of the source that comes closest to what is wanted."""
+    if wanted <= 0:
+        return None
     edges = _list_edges(plan, target)
     options = [
         span
--- a/src/lentilgauge/vms/assigning.py
+++ b/src/lentilgauge/vms/assigning.py
@@ -14,6 +14,8 @@
 #: not longer than the second span, so that few keys move at the start.
 _SETTLED_MS = 900
 _MOST_UNSETTLED_MS = 3000
+#: A VM that wasn't heard of for so long no longer has a share.
+FORGET_VM_MS = 20_000
 #: Capacity of an upstream in cold start against a warm one.
 _COLD_SHARE = 0.35
 #: How much the newest report of slowness counts.
@@ -27,7 +29,7 @@
     configuration = granting.gateway.beliefs.configuration
     if configuration is None or granting.stopped:
         return
-    changed = False
+    changed = count_vms_in(granting)
     for service in configuration.service_by_name.values():
         if service.keyed:
             changed |= _assign_service(granting, service.name)
@@ -35,6 +37,26 @@
         granting_module.publish(granting, record=True)
 
 
+def count_vms_in(granting: granting_module.Granting) -> bool:
+    """Count VMs in that have come, and out that are gone for long."""
+    gateway = granting.gateway
+    at_ms = granting_module.now_ms(granting)
+    known = set(granting.ownership.vms)
+    heard_ms = gateway.heard_ms_by_vm
+    for named in known:
+        # A successor waits as long for each VM as if it had just heard it.
+        heard_ms.setdefault(named, at_ms)
+    current = {
+        vm for vm, last_ms in heard_ms.items() if at_ms - last_ms < FORGET_VM_MS
+    }
+    current.add(gateway.me.vm)
+    if current == known:
+        return False
+    granting.ownership.vms = tuple(sorted(current))
+    granting.ownership.vms_serial = granting.ownership.serial + 1
+    return True
+
+
 def _assign_service(
     granting: granting_module.Granting,
     service: str,
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -184,7 +184,8 @@
 
 def count_vms(gateway: Gateway) -> int:
     """Count the VMs that share what upstreams can bear, this one included."""
-    return len(list_live_peers(gateway)) + 1
+    live = len(list_live_peers(gateway)) + 1
+    return max(live, len(gateway.beliefs.ownership.vms))
 
 
 def get_room(gateway: Gateway, service: str) -> waiting.WaitingRoom:
@@ -216,7 +217,10 @@
         return 0
     bounds = gateway.bounds
     rate = service.cold_per_second * bounds.cold_burst_factor
-    vms = sorted((*gateway.peer_by_vm, gateway.me.vm))
+    vms = gateway.beliefs.ownership.vms
+    if gateway.me.vm not in vms:
+        # The granter has not counted this VM in yet.
+        return 0
     return upstream_load.share_cold_rate(
         rate + bounds.cold_slack,
         len(vms),
--- a/tests/test_key_ranges.py
+++ b/tests/test_key_ranges.py
@@ -158,6 +158,12 @@
         moved = sum(one.fence > 1000 for one in self.table.ranges)
         self.assertLess(moved, _UPSTREAMS // 2)
 
+    def test_an_upstream_that_joins_gets_keys(self) -> None:
+        self.play(4, 200)
+        self.capacities['joined'] = 2.0
+        self.play(2, 200)
+        self.assertTrue(key_ranges.list_held(self.table, 'joined'))
+
     def test_no_load_known_spreads_the_keys_evenly(self) -> None:
         table = key_ranges.make_table(key_ranges.cut_equally(1))
         table.ranges[0].holder = 'u0'
