--- a/src/lentilgauge/contracts/orders.py
+++ b/src/lentilgauge/contracts/orders.py
@@ -14,16 +14,19 @@
 #: Added to each bound for what timers and links add at both ends.
 SLACK_MS = 100
 #: How long to wait for the answer to a grant.
-GRANT_TIMEOUT_MS = 350
+GRANT_TIMEOUT_MS = 300
 #: How long to wait for the answer to a release, which comes when the work
 #: under way on the keys has ended.
 RELEASE_TIMEOUT_MS = 1500
-#: A usual hold: short, so that a lost upstream's keys are free soon.
-USUAL_HOLD_MS = 3000
-#: How long before the end of a usual hold it is renewed.
-RENEW_AFTER_MS = 1000
+#: A usual hold: short, so that a lost upstream's keys are free soon, but
+#: longer than it takes to notice that the granter is lost and to replace it.
+USUAL_HOLD_MS = 2500
+#: A shorter hold would end before its answer is read.
+LEAST_HOLD_MS = 300
+#: How long after it was granted a hold is renewed.
+RENEW_AFTER_MS = 800
 #: How soon a renewal without an answer is tried again.
-RENEW_RETRY_MS = 250
+RENEW_RETRY_MS = 200
 #: How long a granter goes on after the store last confirmed its term. Longer
 #: than the store's known outages, so that these stop no renewal.
 CONFIRM_LAPSE_MS = 12_000
@@ -108,6 +111,22 @@
     return min(USUAL_HOLD_MS, longest_ms) if confirmed else longest_ms
 
 
+def note_grant_unsent(one: key_ranges.KeyRange, before_ms: int) -> None:
+    """Take a grant back that has reached nobody."""
+    one.end_ms = before_ms
+
+
+def shorten_hold_ms(hold_ms: int, end_ms: int, now_ms: int) -> int:
+    """Shorten a hold so that it can't outlast the one that still runs.
+
+    An upstream that has just failed to answer may be lost, and each grant
+    that it may yet have got would put off the end of its right.
+    """
+    left_ms = end_ms - now_ms - GRANT_TIMEOUT_MS - SLACK_MS
+    shortened = int(left_ms / (1 + DRIFT_SHARE))
+    return max(min(hold_ms, shortened), LEAST_HOLD_MS)
+
+
 def bound_end_after_takeover_ms(now_ms: int, longest_ms: int) -> int:
     """Return by when all that an earlier granter may have granted has ended.
 
--- a/src/lentilgauge/vms/following.py
+++ b/src/lentilgauge/vms/following.py
@@ -14,7 +14,7 @@
 
 #: How long a question waits for news; a report goes with each question.
 FOLLOW_WAIT_MS = 300
-_FOLLOW_TIMEOUT_MS = 450
+_FOLLOW_TIMEOUT_MS = 250
 #: How often a followed VM may fail to answer in a row.
 _MOST_FAILURES = 2
 #: Knowledge older than this is no longer worth following.
@@ -22,7 +22,7 @@
 #: Pauses before a VM tries to take over; the seeds go first, so that not all
 #: VMs ask the store at once.
 _SEED_PAUSE_MS = 60
-_OTHER_PAUSE_MS = 450
+_OTHER_PAUSE_MS = 250
 #: How often a VM that hears of no granter reads the store for itself.
 _DIRECT_EVERY_MS = 1000
 _RETRY_MS = 150
--- a/src/lentilgauge/vms/granting.py
+++ b/src/lentilgauge/vms/granting.py
@@ -9,7 +9,7 @@
 from lentilgauge import clock, logs
 from lentilgauge.contracts import orders
 from lentilgauge.contracts import ownership as ownership_module
-from lentilgauge.links import store_link
+from lentilgauge.links import peer_link, store_link
 from lentilgauge.services import key_load
 from lentilgauge.upstreams import roster
 from lentilgauge.vms import beliefs as beliefs_module
@@ -50,6 +50,7 @@
     inherited_end_ms: int
     confirmed: bool = True
     stopped: bool = False
+    successor: peer_link.Peer | None = None
     write_due: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     lazy_ms: int = 0
     silence_by_id: dict[str, orders.Silence] = dataclasses.field(
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -144,11 +144,20 @@
     upstream_id: str,
 ) -> bool:
     """Tell whether an earlier holder's right has surely ended."""
+    return _measure_left_ms(granting, one, upstream_id) <= 0
+
+
+def _measure_left_ms(
+    granting: granting_module.Granting,
+    one: key_ranges.KeyRange,
+    upstream_id: str,
+) -> int:
+    """Measure for how long an earlier holder may still hold a range."""
     end_ms = one.end_ms_by_earlier.get(upstream_id)
     if end_ms is None:
-        return True
+        return 0
     latest_ms = max(end_ms, granting.inherited_end_ms)
-    return granting_module.now_ms(granting) >= latest_ms
+    return latest_ms - granting_module.now_ms(granting)
 
 
 async def _release(
@@ -167,7 +176,10 @@
             start=one.start,
             end=one.end,
             fence=one.release_fence,
-            timeout_ms=orders.RELEASE_TIMEOUT_MS,
+            timeout_ms=min(
+                orders.RELEASE_TIMEOUT_MS,
+                max(_measure_left_ms(granting, one, upstream_id), 1),
+            ),
         ),
     )
 
@@ -184,6 +196,13 @@
         confirmed=granting.confirmed,
         longest_ms=granting.gateway.bounds.hold_ms,
     )
+    doubtful = one.served and upstream.id in granting.silence_by_id
+    if doubtful:
+        hold_ms = orders.shorten_hold_ms(
+            hold_ms,
+            one.end_ms,
+            granting_module.now_ms(granting),
+        )
     before_ms = orders.note_grant_sent(
         one, granting_module.now_ms(granting), hold_ms
     )
@@ -207,9 +226,11 @@
             hold_ms,
             before_ms,
         )
-    if one.fence != fence:
-        # Joined with its neighbour meanwhile: the new token is due at once.
-        one.renew_ms = 0
+        if one.fence != fence or doubtful:
+            # Joined with its neighbour, or granted for a short time only.
+            one.renew_ms = 0
+    elif reply.answer is upstream_link.GrantAnswer.UNREACHABLE:
+        orders.note_grant_unsent(one, before_ms)
     return reply.answer
 
 
--- a/src/lentilgauge/vms/leading.py
+++ b/src/lentilgauge/vms/leading.py
@@ -193,6 +193,8 @@
         granting_module.stop(granting, 'leading has ended')
         for task in tasks:
             task.cancel()
+    if granting.successor is not None:
+        await _ask_to_lead(granting, granting.successor)
 
 
 def _check_jobs(tasks: list[asyncio.Task[None]]) -> None:
@@ -249,9 +251,9 @@
     while not granting.stopped:
         await asyncio.sleep(clock.to_seconds(TICK_MS))
         if gateway.leaving:
-            await _hand_over(granting, gateway_module.list_live_peers(gateway))
+            _hand_over(granting, gateway_module.list_live_peers(gateway))
         elif not granting.confirmed:
-            await _hand_over(granting, await _find_able_peers(gateway))
+            _hand_over(granting, await _find_able_peers(gateway))
             await asyncio.sleep(clock.to_seconds(_RELIEVE_EVERY_MS))
 
 
@@ -289,18 +291,25 @@
     return message.reachable
 
 
-async def _hand_over(
+def _hand_over(
     granting: granting_module.Granting,
     peers: list[peer_link.Peer],
 ) -> None:
-    """Stop, then ask another VM to take over."""
-    gateway = granting.gateway
+    """Stop, so that another VM can be asked to take over."""
     if not peers or granting.stopped:
         return
-    peer = gateway.random.choice(peers)
+    peer = granting.gateway.random.choice(peers)
+    granting.successor = peer
     granting_module.stop(granting, f'handing over to {peer.vm}')
+
+
+async def _ask_to_lead(
+    granting: granting_module.Granting,
+    peer: peer_link.Peer,
+) -> None:
+    """Ask a VM to take over at once, now that this one has stopped."""
     await peer_link.ask_peer(
-        gateway.client,
+        granting.gateway.client,
         peer_link.PeerCall(
             address=peer.address,
             path=peer_link.LEAD_PATH,
--- a/src/lentilgauge/vms/peer_views.py
+++ b/src/lentilgauge/vms/peer_views.py
@@ -8,7 +8,7 @@
 from lentilgauge.vms import gateway as gateway_module
 
 #: A VM answers such a question at once.
-_VIEW_TIMEOUT_MS = 250
+_VIEW_TIMEOUT_MS = 150
 
 
 def list_addresses(gateway: gateway_module.Gateway) -> list[str]:
