--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -132,7 +132,12 @@
     match outcome.proof:
         case upstream_link.Proof.EXECUTED:
             upstream_load.note_executed(load, took_ms)
-            _measure_slowness(gateway, request, counted, outcome, took_ms)
+            counted.executed += 1
+            counted.slowness += upstream_load.measure_slowness(
+                gateway.loads,
+                request.route.name,
+                took_ms,
+            )
         case upstream_link.Proof.MOVED:
             counted.moved += 1
             load.suspended_ms = now_ms + _MOVED_PAUSE_MS
@@ -149,24 +154,6 @@
             request.avoided.add(upstream.id)
 
 
-def _measure_slowness(
-    gateway: gateway_module.Gateway,
-    request: gateway_request.Request,
-    counted: gateway_module.Counted,
-    outcome: upstream_link.Outcome,
-    took_ms: int,
-) -> None:
-    slowness = upstream_load.measure_slowness(
-        gateway.loads,
-        request.route.name,
-        took_ms,
-        outcome.load,
-    )
-    if slowness is not None:
-        counted.executed += 1
-        counted.slowness += slowness
-
-
 def _may_improve(
     gateway: gateway_module.Gateway,
     request: gateway_request.Request,
--- a/src/lentilgauge/upstreams/upstream_load.py
+++ b/src/lentilgauge/upstreams/upstream_load.py
@@ -30,7 +30,6 @@
 _NEWEST_SHARE = 0.1
 #: How much the newest time counts in what is usual for a route.
 _USUAL_SHARE = 0.02
-_LEAST_SLOWNESS = 0.1
 _COLD_WINDOW_MS = 1000
 _COLD_MARGIN = 2
 
@@ -170,21 +169,13 @@
     load.answer_ms += (took_ms - load.answer_ms) * _NEWEST_SHARE
 
 
-def measure_slowness(
-    loads: Loads,
-    route: str,
-    took_ms: float,
-    told: upstream_link.Load | None,
-) -> float | None:
-    """Measure how slow an upstream is by itself, against what is usual.
+def measure_slowness(loads: Loads, route: str, took_ms: float) -> float:
+    """Measure an execution's time, waiting included, against the usual.
 
-    Only what didn't wait there tells, and what its neighbours cost it at the
-    moment is taken out, as that changes many times a second.
+    The waiting belongs to it: an upstream that makes callers wait should have
+    fewer keys, whether its speed or its load is why.
     """
-    if told is None or told.waiting:
-        return None
-    alone_ms = took_ms / max(told.slowness, _LEAST_SLOWNESS)
-    usual_ms = loads.usual_ms_by_route.get(route, alone_ms)
-    usual_ms += (alone_ms - usual_ms) * _USUAL_SHARE
+    usual_ms = loads.usual_ms_by_route.get(route, took_ms)
+    usual_ms += (took_ms - usual_ms) * _USUAL_SHARE
     loads.usual_ms_by_route[route] = usual_ms
-    return alone_ms / max(usual_ms, 1)
+    return took_ms / max(usual_ms, 1)
--- a/src/lentilgauge/vms/assigning.py
+++ b/src/lentilgauge/vms/assigning.py
@@ -18,9 +18,6 @@
 FORGET_VM_MS = 20_000
 #: Capacity of an upstream in cold start against a warm one.
 _COLD_SHARE = 0.35
-#: A slow upstream gets fewer keys than its speed alone would ask for: even
-#: while it is idle, much of what it runs takes longer than callers like.
-_SLOWNESS_POWER = 2
 #: How much the newest report of slowness counts.
 _NEWEST_SHARE = 0.06
 _LEAST_SLOWNESS = 0.5
@@ -223,7 +220,7 @@
     at_ms: int,
 ) -> float:
     slowness = granting.ownership.slowness_by_id.get(upstream.id, 1)
-    capacity = upstream.concurrency / slowness**_SLOWNESS_POWER
+    capacity = upstream.concurrency / slowness
     if upstream.warm_ms > at_ms:
         return capacity * _COLD_SHARE
     return capacity
--- a/tests/granting_world.py
+++ b/tests/granting_world.py
@@ -262,6 +262,7 @@
         self.upstream_by_name: dict[str, ModelUpstream] = {}
         self.last_fence_by_key: dict[int, tuple[str, int]] = {}
         self.violations: list[str] = []
+        self.granters: list[str] = []
         self.vm_by_name: dict[str, ModelVm] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.late: float = 0
--- a/tests/test_granting_model.py
+++ b/tests/test_granting_model.py
@@ -162,6 +162,7 @@
     for _ in range(100):
         await asyncio.sleep(0.1)
         world.check_holds()
+    world.granters = granting_world.find_granters(world)
 
 
 def play_isolation() -> granting_world.World:
@@ -208,7 +209,7 @@
     ) -> None:
         world = play_isolation()
         self.assertEqual(world.violations, [])
-        self.assertEqual(len(granting_world.find_granters(world)), 2)
+        self.assertEqual(len(world.granters), 2)
 
     def test_a_killed_granter_costs_no_key_its_holder(self) -> None:
         async def scene(world: granting_world.World) -> None:
