--- a/src/lentilgauge/services/balance.py
+++ b/src/lentilgauge/services/balance.py
@@ -15,9 +15,9 @@
 from lentilgauge.services import key_ranges
 
 #: An upstream may be this much busier than the mean before keys move.
-TOLERATED_EXCESS = 0.25
+TOLERATED_EXCESS = 0.15
 #: Counts are random: this many standard deviations above the mean are chance.
-CHANCE_DEVIATIONS = 2.0
+CHANCE_DEVIATIONS = 1.8
 #: A move that joins a range of its target counts as this much closer to what
 #: is wanted, as no further range arises.
 _JOINING_SHARE = 0.8
--- a/src/lentilgauge/services/key_load.py
+++ b/src/lentilgauge/services/key_load.py
@@ -5,7 +5,7 @@
 
 #: Counts fade to a third within this span: long enough that chance counts for
 #: little, short enough that a hot key shows within seconds.
-FADE_MS = 4000
+FADE_MS = 3000
 #: As long as fewer requests than this were ever counted for each upstream of
 #: a new service, the rest is taken to be spread evenly over the keys.
 PRIOR_EACH = 20
