--- a/src/lentilgauge/callers/choosing.py
+++ b/src/lentilgauge/callers/choosing.py
@@ -78,10 +78,26 @@
         upstream = _find_least_loaded(gateway, request, service, now_ms)
     if upstream is not None:
         load = upstream_load.get_load(gateway.loads, upstream.id)
+        _note_choice(request, upstream, load, now_ms)
         upstream_load.note_sent(load, now_ms, cold=upstream.warm_ms > now_ms)
     return upstream
 
 
+def _note_choice(
+    request: gateway_request.Request,
+    upstream: roster.Upstream,
+    load: upstream_load.UpstreamLoad,
+    now_ms: int,
+) -> None:
+    """Keep what the choice went by, for the log."""
+    request.upstream = upstream.id
+    request.chosen_ms = now_ms
+    request.queue = upstream_load.estimate_queue(load, now_ms)
+    request.told_age_ms = None
+    if load.told is not None:
+        request.told_age_ms = now_ms - load.told_ms
+
+
 def _find_holder(
     gateway: gateway_module.Gateway,
     request: gateway_request.Request,
--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from lentilgauge import errors
+from lentilgauge import errors, events
 from lentilgauge.callers import choosing, gateway_request, retry_budget
 from lentilgauge.links import upstream_link
 from lentilgauge.services import key_ranges
@@ -129,6 +129,13 @@
     counted = gateway_module.get_counted(gateway, upstream.id)
     upstream_load.note_told(load, outcome.load, now_ms)
     gateway.metrics.count('attempts', outcome.proof)
+    if outcome.proof is not upstream_link.Proof.EXECUTED:
+        events.record(
+            events.Event.ATTEMPT_FAILED,
+            proof=outcome.proof,
+            status=outcome.status,
+            **gateway_request.describe(request, now_ms),
+        )
     match outcome.proof:
         case upstream_link.Proof.EXECUTED:
             upstream_load.note_executed(load, took_ms)
--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -9,7 +9,7 @@
 from returns import result
 from tornado import http1connection, httpserver, httputil, netutil
 
-from lentilgauge import clock, errors
+from lentilgauge import clock, errors, events
 from lentilgauge.callers import forwarding, gateway_request
 from lentilgauge.links import (
     error_messages,
@@ -59,7 +59,7 @@
         self.chunks: list[bytes] = []
         self.arrived_ms = gateway.now_ms()
         self.started_ns = time.monotonic_ns()
-        self.route = ''
+        self.request: gateway_request.Request | None = None
         self.answered = False
         self.task: asyncio.Task[None] | None = None
 
@@ -132,7 +132,9 @@
     try:
         await _serve_received(exchange)
     except asyncio.CancelledError:
-        # Whoever has left gets nothing of this.
+        if exchange.answered:
+            _log_answer(exchange, events.Event.REQUEST_LEFT)
+            return
         _answer_failure(
             exchange,
             errors.Failure(
@@ -175,7 +177,7 @@
         _answer_failure(exchange, read.failure())
         return
     request: gateway_request.Request = read.unwrap()
-    exchange.route = request.route.name
+    exchange.request = request
     served = await forwarding.forward(exchange.gateway, request)
     if isinstance(served, result.Success):
         _answer_executed(exchange, served.unwrap())
@@ -259,9 +261,39 @@
 
 def _count(exchange: Exchange, outcome: str) -> None:
     counted = exchange.gateway.metrics
-    counted.count('requests', outcome)
+    service = ''
+    if exchange.request is not None:
+        service = exchange.request.service
+    counted.count('requests', f'{service}/{outcome}')
     span_us = (time.monotonic_ns() - exchange.started_ns) / clock.NS_PER_US
-    counted.record_us('request', outcome, span_us)
+    counted.record_us('request', service, span_us)
+
+
+def _log_answer(
+    exchange: Exchange,
+    event: events.Event,
+    **fields: object,
+) -> None:
+    """Log what a request got, with the versions that decided on it."""
+    gateway = exchange.gateway
+    believed = gateway.beliefs
+    configuration = believed.configuration
+    described: dict[str, object] = {
+        'id': exchange.headers.get(exchange.dialect.request_id, ''),
+    }
+    if exchange.request is not None:
+        described = gateway_request.describe(
+            exchange.request,
+            gateway.now_ms(),
+        )
+    events.record(
+        event,
+        version=None if configuration is None else configuration.version,
+        term=believed.ownership.term,
+        serial=believed.ownership.serial,
+        **described,
+        **fields,
+    )
 
 
 def _answer_executed(
@@ -270,6 +302,11 @@
 ) -> None:
     """Pass an upstream's whole answer on to the caller."""
     _count(exchange, 'executed')
+    _log_answer(
+        exchange,
+        events.Event.REQUEST_ANSWERED,
+        status=outcome.status,
+    )
     headers = outcome.headers or httputil.HTTPHeaders()
     upstream_data.strip_hop_by_hop(headers)
     _write(exchange, outcome.status, headers, outcome.body)
@@ -283,6 +320,17 @@
     """Answer a caller with a typed error."""
     _count(exchange, failure.kind)
     answer = errors.ANSWERS[failure.kind]
+    refused = answer.ran is errors.Ran.NOT_RUN
+    _log_answer(
+        exchange,
+        events.Event.REQUEST_REFUSED
+        if refused
+        else events.Event.REQUEST_FAILED,
+        kind=failure.kind,
+        detail=failure.detail,
+        status=answer.status,
+        retry_after_ms=retry_after_ms,
+    )
     dialect = exchange.dialect
     request_id = exchange.headers.get(dialect.request_id, '')
     message = error_messages.ErrorMessage(
--- a/src/lentilgauge/logs.py
+++ b/src/lentilgauge/logs.py
@@ -1,12 +1,14 @@
 """Set up log lines, which report changes of state only."""
 
-import os
 import sys
 from typing import Protocol
 
 import loguru
-import msgspec
 
+from lentilgauge import clock, log_lines
+
+_WEIGHT = 'weight'
+_TIME_DIGITS = 4
 _HUMAN_FORMAT = '{time:HH:mm:ss.SSS} {level:<7} {message} {extra}'
 
 
@@ -35,25 +37,44 @@
     loguru.logger.add(sys.stderr, level=section.level, format=_HUMAN_FORMAT)
 
 
-def set_up_service_logs() -> None:
-    """Send log lines to standard output, as one JSON object each."""
+def set_up_service_logs(now_ms: clock.Clock) -> None:
+    """Send log lines to standard output, as one JSON object each.
+
+    A stopped reader of the output never blocks the process.
+    """
+    writer = log_lines.make_writer(sys.stdout.fileno(), now_ms)
+
+    def write(message: 'loguru.Message') -> None:
+        _write_record(writer, message)
+
     loguru.logger.remove()
-    loguru.logger.add(_write_line, level='INFO', format='{message}')
+    loguru.logger.add(write, level='INFO', format='{message}')
 
 
-def _write_line(message: 'loguru.Message') -> None:
+def _write_record(
+    writer: log_lines.LineWriter,
+    message: 'loguru.Message',
+) -> None:
     record = message.record
+    fields = dict(record['extra'])
+    weight = fields.pop(_WEIGHT, log_lines.Weight.CHANGE)
     line = {
-        'time': record['time'].timestamp(),
-        'level': record['level'].name,
+        'time': round(record['time'].timestamp(), _TIME_DIGITS),
         'event': record['message'],
-        **record['extra'],
+        **fields,
     }
     if record['exception'] is not None:
         line['exception'] = str(message)
-    packed = bytearray(msgspec.json.encode(line, enc_hook=str))
-    packed.extend(b'\n')
-    os.write(sys.stdout.fileno(), packed)
+    log_lines.write_line(writer, record['message'], weight, line)
+
+
+def log_weighted(
+    event: str,
+    weight: log_lines.Weight,
+    fields: dict[str, object],
+) -> None:
+    """Log one event; its weight says what is left out first."""
+    loguru.logger.bind(**{_WEIGHT: weight}, **fields).info(event)
 
 
 def log_change(change: str, **fields: object) -> None:
--- a/src/lentilgauge/platform/objects.py
+++ b/src/lentilgauge/platform/objects.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from lentilgauge import logs
+from lentilgauge import events
 from lentilgauge.links import store_link
 from lentilgauge.platform import spans
 from lentilgauge.services import routes
@@ -91,7 +91,7 @@
     try:
         return _make_configuration(msgspec.convert(body, ConfigurationMessage))
     except (msgspec.ValidationError, ValueError) as fault:
-        logs.log_change('unreadable configuration', fault=str(fault))
+        events.record(events.Event.OBJECT_UNREADABLE, fault=str(fault))
         return None
 
 
@@ -156,8 +156,8 @@
     try:
         return _make_upstream(document, now_ms)
     except (msgspec.ValidationError, ValueError) as fault:
-        logs.log_change(
-            'unreadable entry',
+        events.record(
+            events.Event.OBJECT_UNREADABLE,
             upstream=document.name,
             fault=str(fault),
         )
--- a/src/lentilgauge/platform/program.py
+++ b/src/lentilgauge/platform/program.py
@@ -10,7 +10,7 @@
 
 from returns import result
 
-from lentilgauge import clock, logs, metrics
+from lentilgauge import clock, events, logs, metrics
 from lentilgauge.callers import gateway_server
 from lentilgauge.links import http_client, http_server, peer_link
 from lentilgauge.platform import headers, objects, settings, store, upstreams
@@ -98,7 +98,7 @@
         address=front_host,
         port=front_port,
     )
-    logs.log_change('gateway starts', vm=made.me.vm)
+    events.record(events.Event.STARTED, vm=made.me.vm)
     await gateway_process.run_until_stopped(
         made,
         following.run_membership(made),
@@ -113,7 +113,7 @@
     if not isinstance(given, result.Success):
         sys.stderr.write(f'{given.failure().detail}\n')
         sys.exit(_EXIT_BAD_SETTINGS)
-    logs.set_up_service_logs()
+    logs.set_up_service_logs(read_boottime_ms)
     asyncio.run(run_gateway(given.unwrap()))
 
 
--- a/src/lentilgauge/vms/assigning.py
+++ b/src/lentilgauge/vms/assigning.py
@@ -1,6 +1,6 @@
 """Decide as granter which upstream holds which keys."""
 
-from lentilgauge import logs
+from lentilgauge import events
 from lentilgauge.contracts import orders
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import peer_link
@@ -128,7 +128,7 @@
     cut = key_ranges.cut_equally(len(eligible))
     for one, upstream in zip(cut, eligible.values(), strict=True):
         _give(granting, one, upstream)
-    logs.log_change('first assignment', upstreams=len(eligible))
+    events.record(events.Event.KEYS_ASSIGNED, upstreams=len(eligible))
     return key_ranges.make_table(cut)
 
 
@@ -167,8 +167,8 @@
         target = one.holder
         if target not in eligible:
             target = _find_idlest(load, capacities)
-        logs.log_change(
-            'keys change hands',
+        events.record(
+            events.Event.KEYS_MOVED,
             start=one.start,
             end=one.end,
             source=one.holder,
@@ -252,8 +252,8 @@
     for move in moves:
         for one in key_ranges.split_range(table, move.start, move.end):
             _give(granting, one, eligible[move.target])
-        logs.log_change(
-            'keys change hands',
+        events.record(
+            events.Event.KEYS_MOVED,
             start=move.start,
             end=move.end,
             source=move.source,
--- a/src/lentilgauge/vms/beliefs.py
+++ b/src/lentilgauge/vms/beliefs.py
@@ -8,7 +8,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
-from lentilgauge import clock, logs
+from lentilgauge import clock, events
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import store_link
 from lentilgauge.services import routes
@@ -207,7 +207,9 @@
         _adopt_upstreams(beliefs, section)
     else:
         _adopt_evacuations(beliefs, section)
-        logs.log_change('evacuations', domains=sorted(beliefs.evacuated))
+        events.record(
+            events.Event.EVACUATIONS_CHANGED, domains=sorted(beliefs.evacuated)
+        )
     note_change(beliefs)
 
 
@@ -225,14 +227,16 @@
     for document in section.document_by_name.values():
         found = beliefs.decoders.read_configuration(document.body)
         if found is None:
-            logs.log_change(
-                'configuration is unreadable, the last one stays',
+            events.record(
+                events.Event.OBJECT_UNREADABLE,
                 name=document.name,
                 revision=document.revision,
             )
         elif known is None or found.version > known.version:
             beliefs.configuration = found
-            logs.log_change('configuration', version=found.version)
+            events.record(
+                events.Event.CONFIGURATION_TAKEN, version=found.version
+            )
 
 
 def _adopt_upstreams(beliefs: Beliefs, section: Section) -> None:
@@ -250,7 +254,7 @@
             beliefs.leaving_ms_by_id.setdefault(upstream.id, now_ms)
     for gone in beliefs.revision_by_upstream.keys() - found_by_id.keys():
         beliefs.revision_by_upstream.pop(gone)
-        logs.log_change('upstream is gone', upstream=gone)
+        events.record(events.Event.UPSTREAM_GONE, upstream=gone)
 
 
 def _read_upstream(
@@ -263,16 +267,16 @@
         return known
     found = beliefs.decoders.read_upstream(document, beliefs.now_ms())
     if found is None:
-        logs.log_change(
-            'entry of an upstream is unreadable',
+        events.record(
+            events.Event.OBJECT_UNREADABLE,
             upstream=document.name,
             revision=document.revision,
         )
         return None
     beliefs.revision_by_upstream[document.name] = document.revision
     if known is None or _differ(known, found):
-        logs.log_change(
-            'upstream',
+        events.record(
+            events.Event.UPSTREAM_CHANGED,
             upstream=found.id,
             state=found.state,
             life=found.life,
--- a/src/lentilgauge/vms/following.py
+++ b/src/lentilgauge/vms/following.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from lentilgauge import clock, logs
+from lentilgauge import clock, events
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import http_client, peer_link, store_link
 from lentilgauge.vms import beliefs as beliefs_module
@@ -62,7 +62,7 @@
         if failure is http_client.LinkFailure.NOT_CONNECTED:
             return
     if failures:
-        logs.log_change('granter is silent', address=address)
+        events.record(events.Event.GRANTER_SILENT, address=address)
 
 
 def is_fresh(gateway: gateway_module.Gateway) -> bool:
@@ -231,7 +231,7 @@
     address: str,
 ) -> None:
     """Follow a VM that hears the granter, as long as it does."""
-    logs.log_change('following through another VM', address=address)
+    events.record(events.Event.FOLLOWING_THROUGH, address=address)
     while await follow_once(gateway, address) is None:
         if gateway.asked_to_lead.is_set() or not is_fresh(gateway):
             break
--- a/src/lentilgauge/vms/gateway_process.py
+++ b/src/lentilgauge/vms/gateway_process.py
@@ -6,7 +6,7 @@
 
 from tornado import httpserver
 
-from lentilgauge import clock, errors, logs
+from lentilgauge import clock, errors, events
 from lentilgauge.callers import gateway_server
 from lentilgauge.links import http_server
 from lentilgauge.vms import beliefs as beliefs_module
@@ -69,7 +69,7 @@
     # Settings that bind the process don't change while it runs.
     loop.add_signal_handler(
         signal.SIGHUP,
-        lambda: logs.log_change('settings are unchanged'),
+        lambda: events.record(events.Event.SETTINGS_KEPT),
     )
     jobs = [
         asyncio.ensure_future(membership),
@@ -95,7 +95,7 @@
 ) -> None:
     gateway.leaving = True
     beliefs_module.note_change(gateway.beliefs)
-    logs.log_change('gateway stops', in_flight=gateway.in_flight)
+    events.record(events.Event.STOPPING, in_flight=gateway.in_flight)
     started_ms = gateway.now_ms()
     end_ms = started_ms + gateway.bounds.grace_ms
     close_ms = max(started_ms + NOTICE_MS, end_ms - _CLOSE_BEFORE_MS)
@@ -106,7 +106,7 @@
     gateway_server.end_exchanges(gateway)
     await asyncio.sleep(clock.to_seconds(_LOOK_EVERY_MS))
     await callers.close_all_connections()
-    logs.log_change('gateway has stopped', in_flight=gateway.in_flight)
+    events.record(events.Event.STOPPED, in_flight=gateway.in_flight)
 
 
 async def _wait_until(
--- a/src/lentilgauge/vms/granting.py
+++ b/src/lentilgauge/vms/granting.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from lentilgauge import clock, logs
+from lentilgauge import clock, events
 from lentilgauge.contracts import orders
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import peer_link, store_link
@@ -169,7 +169,7 @@
     """Note that the term stood when the store was asked."""
     granting.confirmed_ms = max(granting.confirmed_ms, asked_ms)
     if not granting.confirmed:
-        logs.log_change('store confirms the term again')
+        events.record(events.Event.TERM_CONFIRMED)
     granting.confirmed = True
 
 
@@ -222,8 +222,8 @@
     granting.gateway.beliefs.ownership = ownership_module.unpack_record(
         ownership_module.pack_ownership(granting.ownership),
     )
-    logs.log_change(
-        'granter stops',
+    events.record(
+        events.Event.GRANTER_STOPPED,
         reason=reason,
         term=granting.ownership.term,
     )
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Coroutine
 
-from lentilgauge import clock
+from lentilgauge import clock, events
 from lentilgauge.contracts import orders
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import upstream_link
@@ -97,6 +97,14 @@
 ) -> None:
     one.served = True
     one.handover = ''
+    events.record(
+        events.Event.KEYS_SERVED,
+        start=one.start,
+        end=one.end,
+        upstream=one.holder,
+        fence=one.fence,
+        term=granting.ownership.term,
+    )
     granting_module.publish(granting, record=False)
 
 
@@ -253,3 +261,11 @@
         granting_module.now_ms(granting),
         unreachable=answer is upstream_link.GrantAnswer.UNREACHABLE,
     )
+    silence = granting.silence_by_id[upstream_id]
+    events.record(
+        events.Event.UPSTREAM_SILENT,
+        upstream=upstream_id,
+        answer=answer,
+        failures=silence.failures,
+        since_ms=granting_module.now_ms(granting) - silence.since_ms,
+    )
--- a/src/lentilgauge/vms/leading.py
+++ b/src/lentilgauge/vms/leading.py
@@ -10,7 +10,7 @@
 
 from returns import result
 
-from lentilgauge import clock, logs
+from lentilgauge import clock, events
 from lentilgauge.contracts import orders
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import http_client, peer_link, store_link
@@ -40,14 +40,14 @@
     asked_ms = gateway.now_ms()
     record = _read_record(document)
     if record is None:
-        logs.log_change('the record of ownership is unreadable')
+        events.record(events.Event.OBJECT_UNREADABLE)
         return None
     held = _prepare_term(gateway, record)
     revision = 0 if document is None else document.revision
     packed = ownership_module.pack_ownership(held)
     written = await gateway.store.write_record(packed, revision)
     if not isinstance(written, result.Success):
-        logs.log_change('take-over failed', failure=written.failure())
+        events.record(events.Event.TAKEOVER_FAILED, failure=written.failure())
         return None
     granting = granting_module.Granting(
         gateway=gateway,
@@ -68,7 +68,7 @@
     gateway.grants = True
     gateway.beliefs.ownership = held
     beliefs_module.note_change(gateway.beliefs)
-    logs.log_change('granter starts', term=held.term)
+    events.record(events.Event.GRANTER_STARTED, term=held.term)
     return granting
 
 
@@ -217,7 +217,7 @@
         assigning.assign_keys(granting)
     key_orders.start_orders(granting)
     if not granting_module.may_order(granting) and not granting.stopped:
-        logs.log_change('the term is unconfirmed for too long')
+        events.record(events.Event.TERM_LAPSED)
 
 
 async def _confirm_term(granting: granting_module.Granting) -> None:
@@ -237,7 +237,7 @@
 
 def _note_unconfirmed(granting: granting_module.Granting) -> None:
     if granting.confirmed:
-        logs.log_change('store does not confirm the term')
+        events.record(events.Event.TERM_UNCONFIRMED)
         for table in granting.ownership.table_by_service.values():
             for one in table.ranges:
                 # From now on holds are longer: give them at once.
--- a/src/lentilgauge/vms/watching.py
+++ b/src/lentilgauge/vms/watching.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from lentilgauge import clock, logs
+from lentilgauge import clock, events
 from lentilgauge.links import store_link
 from lentilgauge.vms import beliefs as beliefs_module
 from lentilgauge.vms import gateway as gateway_module
@@ -47,7 +47,7 @@
         return
     await asyncio.sleep(clock.to_seconds(_DELIVERY_MS))
     for topic in _list_unseen(granting, mark):
-        logs.log_change('a watch keeps changes back', topic=topic, mark=mark)
+        events.record(events.Event.WATCH_BEHIND, topic=topic, mark=mark)
         await list_topic(granting.gateway, topic, returned=False)
 
 
@@ -145,7 +145,7 @@
         ]
         if gone:
             beliefs_module.drop_documents(gateway.beliefs, topic, gone)
-            logs.log_change('entries did not come back', upstreams=gone)
+            events.record(events.Event.UPSTREAMS_MISSING, upstreams=gone)
 
     asyncio.get_running_loop().call_later(
         clock.to_seconds(RETURN_GRACE_MS),
@@ -167,7 +167,9 @@
         )
         if not isinstance(watched, result.Success):
             failure = watched.failure()
-            logs.log_change('a watch ended', topic=topic, failure=failure)
+            events.record(
+                events.Event.WATCH_ENDED, topic=topic, failure=failure
+            )
             return not granting.confirmed
         if not granting.confirmed:
             # It may have waited through an outage in which entries lapsed.
