Let most VMs confirm a granter, and bound its orders by that

(1) VMs took each other's memory of the lost granter for news and followed each other for 1.5 s. (3) A granter told to stop during an outage handed over to a VM that could not take over. Now a granter orders only while the store, or most VMs of the record, confirmed it within 1.2 s; a successor that most follow waits that long and a usual hold; long holds need most VMs' word that the store is away; earlier granters not known to have stopped stand in the record. The model catches both weakened rules.

--- a/src/lentilgauge/contracts/orders.py
+++ b/src/lentilgauge/contracts/orders.py
@@ -27,9 +27,12 @@
 RENEW_AFTER_MS = 800
 #: How soon a renewal without an answer is tried again.
 RENEW_RETRY_MS = 200
-#: How long a granter goes on after the store last confirmed its term. Longer
-#: than the store's known outages, so that these stop no renewal.
-CONFIRM_LAPSE_MS = 12_000
+#: How long a granter goes on after the store, or most VMs, last confirmed it.
+ORDER_GRACE_MS = 1200
+#: A VM remembers for this long that it told a granter of an outage.
+OUTAGE_MEMORY_MS = 14_000
+#: Stands for an end that isn't known yet.
+UNKNOWN_END_MS = 9_000_000_000_000_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -102,13 +105,13 @@
     one.renew_ms = now_ms + RENEW_AFTER_MS
 
 
-def choose_hold_ms(*, confirmed: bool, longest_ms: int) -> int:
+def choose_hold_ms(*, outage: bool, longest_ms: int) -> int:
     """Choose how long to grant.
 
-    While the store doesn't answer nobody could take over, so holds are as
+    While the store is away for most VMs nobody can take over, so holds are as
     long as allowed and a granter's loss meanwhile costs the least.
     """
-    return min(USUAL_HOLD_MS, longest_ms) if confirmed else longest_ms
+    return longest_ms if outage else min(USUAL_HOLD_MS, longest_ms)
 
 
 def note_grant_unsent(one: key_ranges.KeyRange, before_ms: int) -> None:
@@ -127,15 +130,20 @@
     return max(min(hold_ms, shortened), LEAST_HOLD_MS)
 
 
-def bound_end_after_takeover_ms(now_ms: int, longest_ms: int) -> int:
-    """Return by when all that an earlier granter may have granted has ended.
+def is_majority(counted: int, members: int) -> bool:
+    """Tell whether so many of the members are more than half."""
+    return counted * 2 > members
 
-    It stops by itself after its last confirmation, which came before the
-    record was taken over.
-    """
-    return now_ms + CONFIRM_LAPSE_MS + add_drift(longest_ms)
+
+def bound_end_after_stop_ms(now_ms: int, hold_ms: int) -> int:
+    """Return by when all has ended that a stopped granter has granted."""
+    return now_ms + GRANT_TIMEOUT_MS + add_drift(hold_ms)
 
 
-def bound_end_after_stop_ms(now_ms: int, longest_ms: int) -> int:
-    """Return the same once it is known that the earlier granter stopped."""
-    return now_ms + GRANT_TIMEOUT_MS + add_drift(longest_ms)
+def bound_end_after_succession_ms(now_ms: int, hold_ms: int) -> int:
+    """Return the same once most VMs follow a successor.
+
+    The store no longer confirms the earlier granter, and too few VMs do, so
+    it stops by itself when its grace is over.
+    """
+    return bound_end_after_stop_ms(now_ms + ORDER_GRACE_MS, hold_ms)
--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -42,7 +42,8 @@
 
     `term` grows with each granter, `serial` with each change inside a term.
     `vms` names the VMs that share what upstreams can bear, in order.
-    `slowness_by_id` is how slow each upstream was measured to be.
+    `slowness_by_id` is how slow each upstream was measured to be. `unsettled`
+    names earlier granters that may not have stopped.
     """
 
     term: int = 0
@@ -51,6 +52,7 @@
     granter: Granter = Granter()
     vms: tuple[str, ...] = ()
     slowness_by_id: dict[str, float] = {}
+    unsettled: tuple[Granter, ...] = ()
     rows_by_service: dict[str, tuple[RangeMessage, ...]] = {}
 
 
@@ -89,6 +91,7 @@
     vms: tuple[str, ...] = ()
     vms_serial: int = 0
     slowness_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
+    unsettled: tuple[Granter, ...] = ()
     table_by_service: dict[str, key_ranges.Table] = dataclasses.field(
         default_factory=dict,
     )
@@ -112,6 +115,7 @@
         granter=ownership.granter,
         vms=ownership.vms,
         slowness_by_id=dict(ownership.slowness_by_id),
+        unsettled=ownership.unsettled,
         rows_by_service={
             service: tuple(_pack_range(one) for one in table.ranges)
             for service, table in ownership.table_by_service.items()
@@ -142,6 +146,7 @@
         vms=record.vms,
         vms_serial=record.serial,
         slowness_by_id=dict(record.slowness_by_id),
+        unsettled=record.unsettled,
         table_by_service=unpack_tables(
             record.rows_by_service,
             record.serial,
--- a/src/lentilgauge/links/peer_link.py
+++ b/src/lentilgauge/links/peer_link.py
@@ -106,7 +106,11 @@
     array_like=True,
     omit_defaults=True,
 ):
-    """Ask for whatever is newer than the marks."""
+    """Ask for whatever is newer than the marks.
+
+    `outage_age_ms` is how long ago this VM told a granter that the store is
+    away, or may have done so before it was started anew.
+    """
 
     peer: Peer
     mark_by_topic: dict[store_link.Topic, tuple[int, int]]
@@ -114,6 +118,7 @@
     serial: int
     wait_ms: int
     peers_digest: int = 0
+    outage_age_ms: int | None = None
     report: Report = Report()
 
 
--- a/src/lentilgauge/platform/program.py
+++ b/src/lentilgauge/platform/program.py
@@ -66,6 +66,7 @@
         client=client,
         metrics=metrics.Metrics(),
         now_ms=read_boottime_ms,
+        outage_told_ms=read_boottime_ms(),
         random=random.Random(),  # ruff: ignore[suspicious-non-cryptographic-random-usage]
         loads=upstream_load.Loads(failure_domain=given.zone),
     )
--- a/src/lentilgauge/vms/following.py
+++ b/src/lentilgauge/vms/following.py
@@ -26,6 +26,9 @@
 #: How often a VM that hears of no granter reads the store for itself.
 _DIRECT_EVERY_MS = 1000
 _RETRY_MS = 150
+#: A VM that follows hears of its granter more often than this. What others
+#: heard earlier than that only repeats what this VM has lost itself.
+HEARD_MS = 650
 
 
 async def run_membership(gateway: gateway_module.Gateway) -> None:
@@ -88,6 +91,7 @@
         serial=known.ownership.serial,
         wait_ms=FOLLOW_WAIT_MS,
         peers_digest=_digest_others(gateway, address),
+        outage_age_ms=gateway_module.measure_outage_age_ms(gateway),
         report=gateway_module.take_report(gateway),
     )
     answered = await peer_link.ask_peer(
@@ -203,7 +207,7 @@
     it, they are asked instead of it.
     """
     views = await peer_views.ask_views(gateway)
-    heard = [view for view in views if view.age_ms < STALE_MS]
+    heard = [view for view in views if view.age_ms < HEARD_MS]
     heard.sort(key=lambda view: (view.term, view.grants), reverse=True)
     for view in heard:
         gateway_module.note_peer(gateway, view.peer)
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -7,7 +7,7 @@
 
 from lentilgauge import clock, metrics
 from lentilgauge.callers import retry_budget, waiting
-from lentilgauge.contracts import ownership
+from lentilgauge.contracts import orders, ownership
 from lentilgauge.links import http_client, peer_link, store_link, upstream_link
 from lentilgauge.services import routes
 from lentilgauge.upstreams import roster, upstream_load
@@ -54,10 +54,22 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Following:
+    """Hold that a VM's process followed a term at a moment or later."""
+
+    term: int
+    incarnation: str
+    since_ms: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Gateway:
     """Hold what a VM knows, whom it knows and what it has in flight.
 
+    `outage_told_ms` is when this VM last told a granter that the store is
+    away; a process that has just started counts as if it had.
+
     While it is `leaving` it serves whoever still comes; once it is `closing`
     it only ends what it has begun.
     """
@@ -90,6 +102,12 @@
         default_factory=dict,
     )
     grants: bool = False
+    outage_told_ms: int = 0
+    outage_ms_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
+    replied_ms_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
+    followed_by_vm: dict[str, Following] = dataclasses.field(
+        default_factory=dict,
+    )
     asked_to_lead: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event,
     )
@@ -226,3 +244,28 @@
         len(vms),
         vms.index(gateway.me.vm),
     )
+
+
+def note_following(
+    gateway: Gateway,
+    peer: peer_link.Peer,
+    term: int,
+) -> None:
+    """Note that a VM follows a term.
+
+    Its question may have been long on the way, but it was sent after the last
+    answer had left here.
+    """
+    replied_ms = gateway.replied_ms_by_vm.get(peer.vm)
+    if replied_ms is not None:
+        gateway.followed_by_vm[peer.vm] = Following(
+            term=term,
+            incarnation=peer.incarnation,
+            since_ms=replied_ms,
+        )
+
+
+def measure_outage_age_ms(gateway: Gateway) -> int | None:
+    """Measure how long ago this VM told a granter of an outage."""
+    age_ms = gateway.now_ms() - gateway.outage_told_ms
+    return age_ms if age_ms < orders.OUTAGE_MEMORY_MS else None
--- a/src/lentilgauge/vms/granting.py
+++ b/src/lentilgauge/vms/granting.py
@@ -37,18 +37,21 @@
     `recorded_fence` is under which all fencing tokens are in the record.
     `confirmed_ms` is when the store last confirmed the term, by the moment
     at which it was asked. `inherited_end_ms` is by when whatever earlier
-    granters may have granted has ended.
+    granters may have granted has ended. `outage` says that the store is away
+    for most VMs.
     """
 
     gateway: gateway_module.Gateway
     ownership: ownership_module.Ownership
     revision: int
     recorded_fence: int
-    recorded_serial: int
     confirmed_ms: int
-    predecessor: ownership_module.Granter
     inherited_end_ms: int
+    recorded_vms: tuple[str, ...] = ()
+    incarnation_by_vm: dict[str, str] = dataclasses.field(default_factory=dict)
     confirmed: bool = True
+    outage: bool = False
+    lapsed: bool = False
     stopped: bool = False
     successor: peer_link.Peer | None = None
     write_due: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -71,7 +74,7 @@
     balance_ms_by_service: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
-    own_revisions: collections.deque[int] = dataclasses.field(
+    seen_revisions: collections.deque[int] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=_KEPT_REVISIONS),
     )
     seen_topics: set[store_link.Topic] = dataclasses.field(
@@ -85,11 +88,46 @@
 
 
 def may_order(granting: Granting) -> bool:
-    """Tell whether this granter may still send orders."""
+    """Tell whether this granter may still send orders.
+
+    Either the store has confirmed the term lately, or most VMs follow it, so
+    that no successor can have most of them.
+    """
     if granting.stopped:
         return False
     age_ms = now_ms(granting) - granting.confirmed_ms
-    return age_ms < orders.CONFIRM_LAPSE_MS
+    return age_ms < orders.ORDER_GRACE_MS or is_followed(granting)
+
+
+def is_followed(granting: Granting) -> bool:
+    """Tell whether most VMs follow the term, by the record and as now known."""
+    since_ms = now_ms(granting) - orders.ORDER_GRACE_MS
+    followers = {granting.gateway.me.vm}
+    for vm, followed in granting.gateway.followed_by_vm.items():
+        if _counts_as_follower(granting, vm, followed, since_ms):
+            followers.add(vm)
+    return all(
+        orders.is_majority(len(followers.intersection(vms)), len(vms))
+        for vms in (granting.recorded_vms, granting.ownership.vms)
+    )
+
+
+def _counts_as_follower(
+    granting: Granting,
+    vm: str,
+    followed: gateway_module.Following,
+    since_ms: int,
+) -> bool:
+    """Tell whether a VM followed the term lately.
+
+    One that was started anew while the store was out of reach has forgotten
+    whom it followed, and doesn't count.
+    """
+    if followed.term != granting.ownership.term:
+        return False
+    if followed.since_ms < since_ms:
+        return False
+    return granting.incarnation_by_vm.get(vm) == followed.incarnation
 
 
 def publish(granting: Granting, *, record: bool) -> None:
@@ -158,9 +196,9 @@
 ) -> None:
     """Note that a record is in the store."""
     granting.revision = revision
-    granting.own_revisions.append(revision)
+    granting.seen_revisions.append(revision)
     granting.recorded_fence = packed.next_fence
-    granting.recorded_serial = packed.serial
+    granting.recorded_vms = packed.vms
     note_confirmed(granting, asked_ms)
     beliefs_module.note_change(granting.gateway.beliefs)
 
@@ -168,11 +206,25 @@
 def note_confirmed(granting: Granting, asked_ms: int) -> None:
     """Note that the term stood when the store was asked."""
     granting.confirmed_ms = max(granting.confirmed_ms, asked_ms)
+    granting.outage = False
+    granting.incarnation_by_vm = {
+        vm: peer.incarnation for vm, peer in granting.gateway.peer_by_vm.items()
+    }
     if not granting.confirmed:
         events.record(events.Event.TERM_CONFIRMED)
     granting.confirmed = True
 
 
+def note_outage(granting: Granting, *, away: bool) -> None:
+    """Note whether the store is away for most VMs."""
+    if away and not granting.outage:
+        for table in granting.ownership.table_by_service.values():
+            for one in table.ranges:
+                # From now on holds are longer: give them at once.
+                one.renew_ms = 0
+    granting.outage = away
+
+
 async def settle_conflict(granting: Granting, asked_ms: int) -> None:
     """Find out whether another granter or an earlier write of ours won."""
     read = await granting.gateway.store.read_record()
@@ -234,11 +286,13 @@
 
 
 def find_longest_hold_ms(granting: Granting) -> int:
-    """Find for how long anything granted may still hold."""
+    """Find for how long anything granted may hold; 0 if that isn't known."""
     ends = [
         one.end_ms
         for table in granting.ownership.table_by_service.values()
         for one in table.ranges
     ]
     latest_ms = max((granting.inherited_end_ms, *ends))
+    if latest_ms == orders.UNKNOWN_END_MS:
+        return 0
     return max(latest_ms - now_ms(granting), 1)
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -201,7 +201,7 @@
     if upstream is None:
         return upstream_link.GrantAnswer.SILENT
     hold_ms = orders.choose_hold_ms(
-        confirmed=granting.confirmed,
+        outage=granting.outage,
         longest_ms=granting.gateway.bounds.hold_ms,
     )
     doubtful = one.served and upstream.id in granting.silence_by_id
--- a/src/lentilgauge/vms/leading.py
+++ b/src/lentilgauge/vms/leading.py
@@ -14,7 +14,7 @@
 from lentilgauge.contracts import orders
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import http_client, peer_link, store_link
-from lentilgauge.vms import assigning, key_orders, watching
+from lentilgauge.vms import assigning, key_orders, relieving, watching
 from lentilgauge.vms import beliefs as beliefs_module
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granting as granting_module
@@ -27,6 +27,7 @@
 #: store does answer.
 _RELIEVE_EVERY_MS = 600
 _ASK_TIMEOUT_MS = 600
+_VIEW_TIMEOUT_MS = 150
 #: Stands for the end of a hold that was granted before this term; when that
 #: is follows from `Granting.inherited_end_ms`.
 HELD_BEFORE_MS = 1
@@ -54,10 +55,8 @@
         ownership=held,
         revision=revision,
         recorded_fence=0,
-        recorded_serial=0,
         confirmed_ms=asked_ms,
-        predecessor=record.granter,
-        inherited_end_ms=_bound_inherited(gateway, record.granter),
+        inherited_end_ms=_bound_inherited(gateway, held),
     )
     granting_module.note_recorded(
         granting,
@@ -87,6 +86,11 @@
     """Make the next term: the same holders under new fencing tokens."""
     held = ownership_module.unpack_record(record)
     had_granter = bool(held.term)
+    if had_granter and not gateway.lead_hold_ms:
+        held.unsettled = (*held.unsettled, held.granter)
+    else:
+        # A granter that hands over answers for all before it.
+        held.unsettled = ()
     held.term += 1
     held.granter = gateway_module.make_granter(gateway)
     if had_granter:
@@ -109,41 +113,100 @@
 
 def _bound_inherited(
     gateway: gateway_module.Gateway,
-    predecessor: ownership_module.Granter,
+    held: ownership_module.Ownership,
 ) -> int:
     """Return by when all that was granted in earlier terms has ended."""
-    if not predecessor.vm:
-        return 0
-    at_ms = gateway.now_ms()
+    if held.unsettled:
+        return orders.UNKNOWN_END_MS
     if gateway.lead_hold_ms:
-        # The last granter stopped before it asked this VM to take over.
-        span_ms = min(gateway.lead_hold_ms, gateway.bounds.hold_ms)
-        return orders.bound_end_after_stop_ms(at_ms, span_ms)
-    return orders.bound_end_after_takeover_ms(at_ms, gateway.bounds.hold_ms)
+        return orders.bound_end_after_stop_ms(
+            gateway.now_ms(),
+            gateway.lead_hold_ms,
+        )
+    return 0
+
+
+async def _settle_predecessors(granting: granting_module.Granting) -> None:
+    """Find out by when the orders of earlier granters have ended."""
+    members = granting.recorded_vms
+    while granting.inherited_end_ms == orders.UNKNOWN_END_MS:
+        await asyncio.sleep(clock.to_seconds(TICK_MS))
+        granting.inherited_end_ms = await _bound_predecessors(
+            granting,
+            members,
+        )
+    if granting.ownership.unsettled:
+        granting.ownership.unsettled = ()
+        granting_module.publish(granting, record=False)
 
 
-async def _watch_predecessor(
+async def _bound_predecessors(
     granting: granting_module.Granting,
-    predecessor: ownership_module.Granter,
-) -> None:
-    """Find out when the last granter has stopped, to wait no longer."""
+    members: tuple[str, ...],
+) -> int:
+    """Return by when earlier granters' orders have ended, if that is known."""
     gateway = granting.gateway
-    while not granting.stopped:
-        if now_past(granting) or await _has_stopped(gateway, predecessor):
-            break
-        await asyncio.sleep(clock.to_seconds(_RELIEVE_EVERY_MS))
-    granting.inherited_end_ms = min(
-        granting.inherited_end_ms,
-        orders.bound_end_after_stop_ms(
+    if _has_succeeded(granting, members):
+        return orders.bound_end_after_succession_ms(
             gateway.now_ms(),
-            gateway.bounds.hold_ms,
+            _find_longest_hold_ms(granting, members),
+        )
+    stopped = await asyncio.gather(
+        *(
+            _has_stopped(gateway, predecessor)
+            for predecessor in granting.ownership.unsettled
         ),
     )
+    if not all(stopped):
+        return orders.UNKNOWN_END_MS
+    return orders.bound_end_after_stop_ms(
+        gateway.now_ms(),
+        _find_longest_hold_ms(granting, members),
+    )
+
 
+def _list_successors(
+    granting: granting_module.Granting,
+    members: tuple[str, ...],
+) -> set[str]:
+    """List the earlier term's VMs that follow this one."""
+    gateway = granting.gateway
+    following = {
+        vm
+        for vm, followed in gateway.followed_by_vm.items()
+        if followed.term == granting.ownership.term
+    }
+    following.add(gateway.me.vm)
+    return following.intersection(members)
+
+
+def _has_succeeded(
+    granting: granting_module.Granting,
+    members: tuple[str, ...],
+) -> bool:
+    """Tell whether most of the earlier term's VMs follow this one."""
+    followers = _list_successors(granting, members)
+    return orders.is_majority(len(followers), len(members))
 
-def now_past(granting: granting_module.Granting) -> bool:
-    """Tell whether no earlier grant can still hold."""
-    return granting_module.now_ms(granting) >= granting.inherited_end_ms
+
+def _find_longest_hold_ms(
+    granting: granting_module.Granting,
+    members: tuple[str, ...],
+) -> int:
+    """Find how long the last granter's orders may hold.
+
+    It grants for long only if most VMs told it of an outage, so of any most
+    that follow this term one would remember.
+    """
+    gateway = granting.gateway
+    followers = _list_successors(granting, members)
+    if not orders.is_majority(len(followers), len(members)):
+        return gateway.bounds.hold_ms
+    since_ms = gateway.now_ms() - orders.OUTAGE_MEMORY_MS
+    told_ms = {**gateway.outage_ms_by_vm, gateway.me.vm: gateway.outage_told_ms}
+    if any(told_ms.get(vm, 0) >= since_ms for vm in followers):
+        return gateway.bounds.hold_ms
+    return min(orders.USUAL_HOLD_MS, gateway.bounds.hold_ms)
 
 
 async def _has_stopped(
@@ -158,7 +221,7 @@
         peer_link.PeerCall(
             address=predecessor.address,
             path=peer_link.VIEW_PATH,
-            timeout_ms=_ASK_TIMEOUT_MS,
+            timeout_ms=_VIEW_TIMEOUT_MS,
         ),
         peer_link.ViewMessage,
     )
@@ -179,7 +242,7 @@
         granting_module.write_record(granting),
         _confirm_term(granting),
         _relieve(granting),
-        _watch_predecessor(granting, granting.predecessor),
+        _settle_predecessors(granting),
     ]
     tasks = [asyncio.ensure_future(job) for job in jobs]
     try:
@@ -216,8 +279,21 @@
     if watching.has_seen_all(granting):
         assigning.assign_keys(granting)
     key_orders.start_orders(granting)
-    if not granting_module.may_order(granting) and not granting.stopped:
-        events.record(events.Event.TERM_LAPSED)
+    _note_lapse(granting)
+
+
+def _note_lapse(granting: granting_module.Granting) -> None:
+    """Log when orders may no longer be sent, and when they may again."""
+    lapsed = not granting_module.may_order(granting)
+    if lapsed != granting.lapsed and not granting.stopped:
+        granting.lapsed = lapsed
+        events.record(
+            events.Event.TERM_LAPSED,
+            lapsed=lapsed,
+            term=granting.ownership.term,
+            confirmed_age_ms=granting_module.now_ms(granting)
+            - granting.confirmed_ms,
+        )
 
 
 async def _confirm_term(granting: granting_module.Granting) -> None:
@@ -238,10 +314,6 @@
 def _note_unconfirmed(granting: granting_module.Granting) -> None:
     if granting.confirmed:
         events.record(events.Event.TERM_UNCONFIRMED)
-        for table in granting.ownership.table_by_service.values():
-            for one in table.ranges:
-                # From now on holds are longer: give them at once.
-                one.renew_ms = 0
     granting.confirmed = False
 
 
@@ -250,47 +322,13 @@
     gateway = granting.gateway
     while not granting.stopped:
         await asyncio.sleep(clock.to_seconds(TICK_MS))
-        if gateway.leaving:
+        if gateway.leaving and granting.confirmed:
             _hand_over(granting, gateway_module.list_live_peers(gateway))
         elif not granting.confirmed:
-            _hand_over(granting, await _find_able_peers(gateway))
+            _hand_over(granting, await relieving.find_able_peers(granting))
             await asyncio.sleep(clock.to_seconds(_RELIEVE_EVERY_MS))
 
 
-async def _find_able_peers(
-    gateway: gateway_module.Gateway,
-) -> list[peer_link.Peer]:
-    """Ask the other VMs whether the store answers them."""
-    peers = gateway_module.list_live_peers(gateway)
-    answers = await asyncio.gather(
-        *(_ask_about_store(gateway, peer) for peer in peers),
-    )
-    return [
-        peer
-        for peer, reachable in zip(peers, answers, strict=True)
-        if reachable
-    ]
-
-
-async def _ask_about_store(
-    gateway: gateway_module.Gateway,
-    peer: peer_link.Peer,
-) -> bool:
-    answered = await peer_link.ask_peer(
-        gateway.client,
-        peer_link.PeerCall(
-            address=peer.address,
-            path=peer_link.STORE_PATH,
-            timeout_ms=_ASK_TIMEOUT_MS,
-        ),
-        peer_link.StoreMessage,
-    )
-    if not isinstance(answered, result.Success):
-        return False
-    message: peer_link.StoreMessage = answered.unwrap()
-    return message.reachable
-
-
 def _hand_over(
     granting: granting_module.Granting,
     peers: list[peer_link.Peer],
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns import result
 
-from lentilgauge import metrics
+from lentilgauge import clock, metrics
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import http_server, peer_link, store_link
 from lentilgauge.vms import beliefs as beliefs_module
@@ -15,6 +15,8 @@
 GATHER_MS = 3
 #: A longer wait than any VM asks for is cut to this.
 _MOST_WAIT_MS = 1000
+#: A VM that asks about the store waits hardly longer than this.
+_STORE_TIMEOUT_MS = 400
 
 METRICS_PATH = '/metrics'
 
@@ -39,8 +41,9 @@
         return _respond(gateway_module.make_view(gateway))
 
     async def check_store(_: http_server.Request) -> http_server.Response:
-        read = await gateway.store.read_record()
-        reachable = isinstance(read, result.Success)
+        reachable = await _reaches_store(gateway)
+        if not reachable:
+            gateway.outage_told_ms = gateway.now_ms()
         return _respond(peer_link.StoreMessage(reachable=reachable))
 
     async def lead(request: http_server.Request) -> http_server.Response:
@@ -65,12 +68,28 @@
     }
 
 
+async def _reaches_store(gateway: gateway_module.Gateway) -> bool:
+    """Tell whether the store answers this VM, soon enough to be of use."""
+    try:
+        read = await asyncio.wait_for(
+            gateway.store.read_record(),
+            clock.to_seconds(_STORE_TIMEOUT_MS),
+        )
+    except TimeoutError:
+        return False
+    return isinstance(read, result.Success)
+
+
 async def answer_follower(
     gateway: gateway_module.Gateway,
     message: peer_link.FollowMessage,
 ) -> peer_link.FollowReply:
     """Answer with whatever is newer, once there is something."""
     gateway_module.note_peer(gateway, message.peer)
+    gateway_module.note_following(gateway, message.peer, message.term)
+    if message.outage_age_ms is not None:
+        told_ms = gateway.now_ms() - message.outage_age_ms
+        gateway.outage_ms_by_vm[message.peer.vm] = told_ms
     if gateway.grants:
         gateway.reports.append(message.report)
     deadline_ms = gateway.now_ms() + min(message.wait_ms, _MOST_WAIT_MS)
@@ -79,7 +98,8 @@
         if left_ms <= 0:
             break
         await beliefs_module.wait_for_change(gateway.beliefs, left_ms)
-        await asyncio.sleep(GATHER_MS / 1000)
+        await asyncio.sleep(clock.to_seconds(GATHER_MS))
+    gateway.replied_ms_by_vm[message.peer.vm] = gateway.now_ms()
     return _make_reply(gateway, message)
 
 
--- a/src/lentilgauge/vms/watching.py
+++ b/src/lentilgauge/vms/watching.py
@@ -57,7 +57,7 @@
 ) -> list[store_link.Topic]:
     """List the topics that may have changed unseen up to a mark."""
     sections = granting.gateway.beliefs.section_by_topic
-    seen = set(granting.own_revisions)
+    seen = set(granting.seen_revisions)
     for known in sections.values():
         documents = known.document_by_name.values()
         seen.update(document.revision for document in documents)
@@ -175,6 +175,8 @@
             # It may have waited through an outage in which entries lapsed.
             return True
         changes = watched.unwrap()
+        # The last change has the revision that the answer is of.
+        granting.seen_revisions.append(changes.mark)
         beliefs_module.take_changes(beliefs, topic, changes)
         await asyncio.sleep(clock.to_seconds(GATHER_MS))
     return False
--- a/tests/test_granting_model.py
+++ b/tests/test_granting_model.py
@@ -6,9 +6,8 @@
 
 import loguru
 
-from lentilgauge.contracts import orders
 from lentilgauge.services import key_ranges
-from lentilgauge.vms import granting, key_orders
+from lentilgauge.vms import granting, key_orders, leading
 from tests import granting_world, virtual_time
 
 _SEEDS = 12
@@ -153,13 +152,19 @@
 
 
 async def isolate_granter(world: granting_world.World) -> None:
-    """Cut the granter off from all but one upstream, which others lose."""
+    """Cut the granter off from all but one upstream, which others lose.
+
+    Before that an outage of the store has made it grant for long.
+    """
     granter = pick_granter(world)
+    world.store.away.add('all')
+    await asyncio.sleep(4)
+    world.store.away.discard('all')
     others = [name for name in world.names if name != granter]
     world.store.away.add(granter)
     for other in others:
         world.cuts |= {(granter, other), (other, granter), (other, 'u1')}
-    for _ in range(100):
+    for _ in range(200):
         await asyncio.sleep(0.1)
         world.check_holds()
     world.granters = granting_world.find_granters(world)
@@ -211,6 +216,24 @@
         self.assertEqual(world.violations, [])
         self.assertEqual(len(world.granters), 2)
 
+    def test_a_domain_lost_with_its_granter_costs_its_keys_six_seconds(
+        self,
+    ) -> None:
+        """Granter and an upstream go dark at once; most VMs remain."""
+
+        async def scene(world: granting_world.World) -> None:
+            await asyncio.sleep(15)
+            granter = pick_granter(world)
+            world.kill_upstream('u1', listed=False)
+            for other in world.names:
+                world.cuts |= {(granter, other), (other, granter)}
+            world.store.away.add(granter)
+            for name in world.upstream_by_name:
+                world.cuts.add((granter, name))
+            self.assertTrue(await world.wait_until_all_held(7))
+
+        self.play_scene(scene)
+
     def test_a_killed_granter_costs_no_key_its_holder(self) -> None:
         async def scene(world: granting_world.World) -> None:
             world.kill_vm(granting_world.find_granters(world)[0])
@@ -300,11 +323,12 @@
             self.assertTrue(self.find_violation())
 
     def test_forgetting_earlier_granters_is_caught(self) -> None:
-        def forget(now_ms: int, _: int) -> int:
-            return now_ms
+        with mock.patch.object(leading, '_bound_inherited', return_value=0):
+            self.assertIn('two holders', str(play_isolation().violations))
+
+    def test_a_granter_that_never_stops_by_itself_is_caught(self) -> None:
+        def may_order(state: granting.Granting) -> bool:
+            return not state.stopped
 
-        with (
-            mock.patch.object(orders, 'bound_end_after_takeover_ms', forget),
-            mock.patch.object(orders, 'bound_end_after_stop_ms', forget),
-        ):
+        with mock.patch.object(granting, 'may_order', may_order):
             self.assertIn('two holders', str(play_isolation().violations))
