Explain a request from logs, serve metrics, and check a gateway's own settings

lentilgauge explain ID FILE... reads the lines of several processes and prints one request's story with the beliefs it rested on. Metrics are served on the port of deploy/gateway.ini, named in deploy/system.toml. Unknown sections and options are refused with file, place and what was expected.

--- a/src/lentilgauge/log_lines.py
+++ b/src/lentilgauge/log_lines.py
@@ -58,6 +58,7 @@
 
     descriptor: int
     now_ms: clock.Clock
+    least: Weight = Weight.ROUTINE
     waiting: bytearray = dataclasses.field(default_factory=bytearray)
     spending_by_event: dict[str, Spending] = dataclasses.field(
         default_factory=dict,
@@ -70,10 +71,14 @@
     watched: bool = False
 
 
-def make_writer(descriptor: int, now_ms: clock.Clock) -> LineWriter:
+def make_writer(
+    descriptor: int,
+    now_ms: clock.Clock,
+    least: Weight = Weight.ROUTINE,
+) -> LineWriter:
     """Make a writer to an open descriptor, which no longer blocks."""
     os.set_blocking(descriptor, False)
-    return LineWriter(descriptor=descriptor, now_ms=now_ms)
+    return LineWriter(descriptor=descriptor, now_ms=now_ms, least=least)
 
 
 def write_line(
@@ -83,6 +88,8 @@
     line: dict[str, object],
 ) -> None:
     """Queue a line, or count it as left out."""
+    if weight < writer.least:
+        return
     second = writer.now_ms() // clock.MS_PER_SECOND
     if not _may_spend(writer, event, weight, second):
         writer.left_out[event] += 1
--- a/src/lentilgauge/logs.py
+++ b/src/lentilgauge/logs.py
@@ -37,12 +37,16 @@
     loguru.logger.add(sys.stderr, level=section.level, format=_HUMAN_FORMAT)
 
 
-def set_up_service_logs(now_ms: clock.Clock) -> None:
+def set_up_service_logs(now_ms: clock.Clock, level: str) -> None:
     """Send log lines to standard output, as one JSON object each.
 
-    A stopped reader of the output never blocks the process.
+    A stopped reader of the output never blocks the process. At the level
+    `changes`, lines on requests that were answered are left out.
     """
-    writer = log_lines.make_writer(sys.stdout.fileno(), now_ms)
+    least = log_lines.Weight.ROUTINE
+    if level == 'changes':
+        least = log_lines.Weight.CHANGE
+    writer = log_lines.make_writer(sys.stdout.fileno(), now_ms, least)
 
     def write(message: 'loguru.Message') -> None:
         _write_record(writer, message)
--- a/src/lentilgauge/operators/command_line.py
+++ b/src/lentilgauge/operators/command_line.py
@@ -12,6 +12,7 @@
 from lentilgauge import errors, programs
 from lentilgauge.links import http_client, operator_link
 from lentilgauge.operators import changes, status, tables, versions
+from lentilgauge.operators import explain as explain_module
 from lentilgauge.services import configuration
 
 EXIT_REFUSED = 1
@@ -207,6 +208,15 @@
     return state == yes
 
 
+def explain(request_id: str, *log_files: str) -> None:
+    """Tell one request's story from the log files of gateways."""
+    lines = explain_module.read_lines(
+        pathlib.Path(str(log_file)) for log_file in log_files
+    )
+    story = explain_module.explain_request(lines, str(request_id))
+    sys.stdout.write(explain_module.render_story(story))
+
+
 def main() -> None:
     """Start from the command line."""
     programs.run_program(
@@ -217,5 +227,6 @@
             'apply': apply_configuration,
             'domain': set_domain,
             'upstream': set_upstream,
+            'explain': explain,
         }
     )
--- a/src/lentilgauge/platform/program.py
+++ b/src/lentilgauge/platform/program.py
@@ -7,10 +7,18 @@
 import secrets
 import sys
 import time
+from typing import TypeVar
 
 from returns import result
 
-from lentilgauge import clock, events, logs, metrics
+from lentilgauge import (
+    clock,
+    errors,
+    events,
+    gateway_settings,
+    logs,
+    metrics,
+)
 from lentilgauge.callers import gateway_server
 from lentilgauge.links import http_client, http_server, peer_link
 from lentilgauge.platform import headers, objects, settings, store, upstreams
@@ -23,6 +31,8 @@
     peer_routes,
 )
 
+Settings = TypeVar('Settings')
+
 SETTINGS_VARIABLE = 'LENTILGAUGE_CONFIG'
 _READY_PATH = '/ready'
 _ID_BYTES = 6
@@ -77,7 +87,10 @@
     return host, int(port)
 
 
-async def run_gateway(given: settings.SettingsFile) -> None:
+async def run_gateway(
+    given: settings.SettingsFile,
+    own: gateway_settings.GatewayFile,
+) -> None:
     """Serve until told to stop."""
     made = make_gateway(given)
     peer_host, peer_port = _split_address(given.listen.control)
@@ -86,6 +99,11 @@
         address=peer_host,
         port=peer_port,
     )
+    http_server.start_server(
+        routes=peer_routes.make_metrics_routes(made),
+        address=peer_host,
+        port=own.metrics.port,
+    )
     ready_host, ready_port = _split_address(given.listen.ready)
     http_server.start_server(
         routes=gateway_process.make_ready_routes(made, _READY_PATH),
@@ -107,15 +125,24 @@
     )
 
 
+def _read_or_exit(read: result.Result[Settings, errors.Failure]) -> Settings:
+    """Return settings, or exit after saying what is wrong with them."""
+    if isinstance(read, result.Success):
+        found: Settings = read.unwrap()
+        return found
+    sys.stderr.write(f'{read.failure().detail}\n')
+    sys.exit(_EXIT_BAD_SETTINGS)
+
+
 def main() -> None:
-    """Start from the command line."""
+    """Start from the command line: `program SETTINGS.ini`."""
+    own = _read_or_exit(
+        gateway_settings.read_gateway_file(pathlib.Path(sys.argv[-1])),
+    )
     path = os.environ.get(SETTINGS_VARIABLE, '')
-    given = settings.read_settings(pathlib.Path(path))
-    if not isinstance(given, result.Success):
-        sys.stderr.write(f'{given.failure().detail}\n')
-        sys.exit(_EXIT_BAD_SETTINGS)
-    logs.set_up_service_logs(read_boottime_ms)
-    asyncio.run(run_gateway(given.unwrap()))
+    given = _read_or_exit(settings.read_settings(pathlib.Path(path)))
+    logs.set_up_service_logs(read_boottime_ms, own.log.level)
+    asyncio.run(run_gateway(given, own))
 
 
 if __name__ == '__main__':
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -56,18 +56,25 @@
         beliefs_module.note_change(gateway.beliefs)
         return _respond(peer_link.StoreMessage(reachable=True))
 
-    async def show(_: http_server.Request) -> http_server.Response:
-        return http_server.respond_text(metrics.render_text(gateway.metrics))
-
     return {
         http_server.Route('POST', peer_link.FOLLOW_PATH): follow,
         http_server.Route('GET', peer_link.VIEW_PATH): view,
         http_server.Route('GET', peer_link.STORE_PATH): check_store,
         http_server.Route('POST', peer_link.LEAD_PATH): lead,
-        http_server.Route('GET', METRICS_PATH): show,
     }
 
 
+def make_metrics_routes(
+    gateway: gateway_module.Gateway,
+) -> dict[http_server.Route, http_server.Responder]:
+    """Make the route by which scrapers read counters and histograms."""
+
+    async def show(_: http_server.Request) -> http_server.Response:
+        return http_server.respond_text(metrics.render_text(gateway.metrics))
+
+    return {http_server.Route('GET', METRICS_PATH): show}
+
+
 async def _reaches_store(gateway: gateway_module.Gateway) -> bool:
     """Tell whether the store answers this VM, soon enough to be of use."""
     try:
