--- a/src/lentilgauge/gateway_settings.py
+++ b/src/lentilgauge/gateway_settings.py
@@ -13,7 +13,9 @@
 
 from lentilgauge import errors
 
-Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+_LAST_PORT = 65_535
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=_LAST_PORT)]
 
 
 class MetricsSection(
