Let no late answer to a request pass for a finished release

Ruled out: another granter (none started), a lapsed hold (the release was 3 ms old). Now a release goes on a fresh connection, and an answer with a request's id or seal answers no order; the test fails without that.

--- a/src/lentilgauge/platform/upstreams.py
+++ b/src/lentilgauge/platform/upstreams.py
@@ -11,6 +11,8 @@
 
 _MISDIRECTED = http.HTTPStatus.MISDIRECTED_REQUEST
 _WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
+_GRANT_PATH = '/grant'
+_RELEASE_PATH = '/release'
 _LOAD_FIGURES = 3
 _USUAL_PERCENT = 100
 
@@ -41,12 +43,12 @@
     async def grant_keys(
         order: upstream_link.KeyOrder,
     ) -> upstream_link.KeyReply:
-        return await _send_order(client, order, '/grant')
+        return await _send_order(client, order, _GRANT_PATH)
 
     async def release_keys(
         order: upstream_link.KeyOrder,
     ) -> upstream_link.KeyReply:
-        return await _send_order(client, order, '/release')
+        return await _send_order(client, order, _RELEASE_PATH)
 
     return upstream_link.UpstreamLink(
         send_attempt=send_attempt,
@@ -149,6 +151,11 @@
     order: upstream_link.KeyOrder,
     path: str,
 ) -> upstream_link.KeyReply:
+    """Send an order; a release goes on a fresh connection.
+
+    On a kept one a second answer to an earlier request may still come, and
+    would pass for the word that no work is left on the keys.
+    """
     message = GrantMessage(
         start=order.start,
         target=order.end,
@@ -167,6 +174,7 @@
                 {'Content-Type': 'application/json'},
             ),
             send_once=True,
+            fresh=path == _RELEASE_PATH,
         ),
     )
     if not isinstance(sent, result.Success):
@@ -183,6 +191,9 @@
 
 
 def _read_order_reply(reply: http_client.Reply) -> upstream_link.KeyReply:
+    if headers.REQUEST_ID in reply.headers or headers.SEAL in reply.headers:
+        # It answers a caller's request, whichever that was.
+        return upstream_link.KeyReply(answer=upstream_link.GrantAnswer.SILENT)
     if reply.status == http.HTTPStatus.OK:
         return upstream_link.KeyReply(
             answer=upstream_link.GrantAnswer.ACCEPTED,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -202,6 +202,39 @@
         self.assertEqual(self.call.headers[headers.DEADLINE_MS], '70')
         self.assertEqual(self.call.headers[headers.EXPECTED_INSTANCE], 'u0')
 
+    async def test_an_answer_to_a_request_is_none_to_an_order(self) -> None:
+        """A second, late answer must not pass for a finished release."""
+        calls: list[http_client.Call] = []
+        replies = [
+            self.reply(200, REQUEST_ID='r0', SEAL='s'),
+            self.reply(200, HANDOVER='h'),
+            self.reply(200, SEAL='s'),
+            self.reply(409),
+        ]
+
+        async def send(call: http_client.Call) -> http_client.CallResult:
+            calls.append(call)
+            return replies.pop(0)
+
+        link = upstreams.make_link(http_client.Client(send=send))
+        order = upstream_link.KeyOrder(
+            upstream=test_gateway_server.make_upstream('u0'),
+            start=1,
+            end=2,
+            fence=3,
+            hold_ms=100,
+            timeout_ms=100,
+        )
+        answers = [
+            (await link.release_keys(order)).answer,
+            (await link.release_keys(order)).answer,
+            (await link.grant_keys(order)).answer,
+            (await link.grant_keys(order)).answer,
+        ]
+        self.assertEqual(answers, ['silent', 'accepted', 'silent', 'fenced'])
+        fresh = [call.fresh for call in calls]
+        self.assertEqual(fresh, [True, True, False, False])
+
     async def test_loads(self) -> None:
         for text, wanted in (
             ('1,2,8', (1, 2, 8, 1)),
