Move no keys for balance in an outage, and wait for lapsed entries after one

(1) With the store away a granter planned moves for balance, and their keys stayed unserved until the record could be written, eight seconds later. (2) A granter that took over at the store's return found entries missing that had lapsed meanwhile, took their holders for gone and, not knowing their addresses, waited ten seconds for each. Two scenes of the model fail without the change.

--- a/src/lentilgauge/vms/assigning.py
+++ b/src/lentilgauge/vms/assigning.py
@@ -6,6 +6,7 @@
 from lentilgauge.links import peer_link
 from lentilgauge.services import balance, key_load, key_ranges
 from lentilgauge.upstreams import roster
+from lentilgauge.vms import beliefs as beliefs_module
 from lentilgauge.vms import granting as granting_module
 
 #: How often it is looked whether keys should move for balance.
@@ -73,6 +74,9 @@
         tables[service] = _make_first_table(granting, eligible)
         return True
     changed = _replace_holders(granting, table, eligible)
+    if not granting.confirmed:
+        # What moves now is unserved until the store takes the record again.
+        return changed
     changed |= _balance(granting, service, table, eligible)
     if not granting.task_by_range:
         changed |= key_ranges.join_ranges(
@@ -180,6 +184,25 @@
     return True
 
 
+def _may_keep(
+    granting: granting_module.Granting,
+    one: key_ranges.KeyRange,
+    eligible: dict[str, roster.Upstream],
+) -> bool:
+    """Tell whether a range may stay with its holder.
+
+    The entry of a holder may have lapsed while the store was away, and comes
+    back soon: a granter that has just taken over waits for that.
+    """
+    holder = eligible.get(one.holder)
+    if holder is not None:
+        return one.life == holder.life
+    if one.holder in granting.gateway.beliefs.upstream_by_id:
+        return False
+    waited_ms = granting_module.now_ms(granting) - granting.started_ms
+    return waited_ms < beliefs_module.MISSING_GRACE_MS
+
+
 def _find_idlest(
     load: dict[str, float],
     capacities: dict[str, float],
--- a/src/lentilgauge/vms/granting.py
+++ b/src/lentilgauge/vms/granting.py
@@ -47,6 +47,7 @@
     recorded_fence: int
     confirmed_ms: int
     inherited_end_ms: int
+    started_ms: int = 0
     recorded_vms: tuple[str, ...] = ()
     incarnation_by_vm: dict[str, str] = dataclasses.field(default_factory=dict)
     confirmed: bool = True
--- a/src/lentilgauge/vms/leading.py
+++ b/src/lentilgauge/vms/leading.py
@@ -57,6 +57,7 @@
         recorded_fence=0,
         confirmed_ms=asked_ms,
         inherited_end_ms=_bound_inherited(gateway, held),
+        started_ms=asked_ms,
     )
     granting_module.note_recorded(
         granting,
--- a/tests/test_granting_model.py
+++ b/tests/test_granting_model.py
@@ -6,6 +6,7 @@
 
 import loguru
 
+from lentilgauge.links import peer_link
 from lentilgauge.services import key_ranges
 from lentilgauge.vms import granting, key_orders, leading
 from tests import granting_world, virtual_time
@@ -234,6 +235,49 @@
 
         self.play_scene(scene)
 
+    def test_keys_do_not_move_for_balance_while_the_store_is_away(
+        self,
+    ) -> None:
+        """They would be unserved until the record can be written."""
+
+        async def scene(world: granting_world.World) -> None:
+            granter = world.vm_by_name[pick_granter(world)].gateway
+            table = granter.beliefs.ownership.table_by_service['s']
+            world.store.away.add('all')
+            await asyncio.sleep(3)
+            for _ in range(40):
+                report = peer_link.Report(
+                    counts_by_service={'s': [(1, 50), (2, 50)]},
+                )
+                granter.reports.append(report)
+                await asyncio.sleep(0.1)
+                self.assertTrue(all(one.served for one in table.ranges))
+
+        self.play_scene(scene)
+
+    def test_a_successor_waits_for_entries_that_lapsed_in_an_outage(
+        self,
+    ) -> None:
+        """A holder whose entry comes back in time keeps its keys."""
+
+        async def scene(world: granting_world.World) -> None:
+            world.store.away.add('all')
+            await asyncio.sleep(3)
+            upstream = world.upstream_by_name['u1']
+            upstream.listed = False
+            world.note_listing('u1')
+            world.kill_vm(pick_granter(world))
+            world.store.away.clear()
+            await asyncio.sleep(2)
+            upstream.listed = True
+            world.note_listing('u1')
+            await asyncio.sleep(2.5)
+            held = [one.start for one in upstream.live_holds()]
+            self.assertTrue(held)
+            self.assertEqual(world.count_held(), key_ranges.KEY_COUNT)
+
+        self.play_scene(scene)
+
     def test_a_killed_granter_costs_no_key_its_holder(self) -> None:
         async def scene(world: granting_world.World) -> None:
             world.kill_vm(granting_world.find_granters(world)[0])
