--- a/src/lentilgauge/vms/assigning.py
+++ b/src/lentilgauge/vms/assigning.py
@@ -159,9 +159,7 @@
 ) -> bool:
     """Give the keys of upstreams that can't hold them to others."""
     orphaned = [
-        one
-        for one in table.ranges
-        if one.holder not in eligible or one.life != eligible[one.holder].life
+        one for one in table.ranges if not _may_keep(granting, one, eligible)
     ]
     if not orphaned:
         return False
