Tell what kept a request from running when its time runs out before a send

Cause: an entry looks at the time, finds a route and sends in one step, but reads its clock twice. If the deadline passes in between, a request that had waited seconds for its key's owner was answered 504 "the deadline has passed" in place of 503 "no upstream owns the key now".

That a late send of a millisecond gives the 504, as was suspected, is ruled out too: without a connection it counts as not reached, which is a 503.

Change: what is known from before stays when time runs out before a send.

--- a/src/lentilgauge/callers/dispatch.py
+++ b/src/lentilgauge/callers/dispatch.py
@@ -26,9 +26,11 @@
     kind=errors.ErrorKind.OVERLOADED,
     detail='the upstream has no room before the deadline',
 )
-_TOO_SHORT = errors.Failure(
-    kind=errors.ErrorKind.DEADLINE_TOO_SHORT,
-    detail='the deadline has passed',
+_OUT_OF_TIME = upstream_data.NotSent(
+    failure=errors.Failure(
+        kind=errors.ErrorKind.DEADLINE_TOO_SHORT,
+        detail='the deadline has passed',
+    ),
 )
 
 
@@ -36,11 +38,17 @@
     entry: entry_module.Entry,
     request: request_module.CallerRequest,
 ) -> ServeResult:
-    """Attempt a request until it ran, can't be retried or is out of time."""
+    """Attempt a request until it ran, can't be retried or is out of time.
+
+    Out of time, its answer tells what kept it from running until then.
+    """
     retries.earn(entry.budget_by_service[request.kind.service])
-    outcome: upstream_data.Outcome = upstream_data.NotSent(failure=_TOO_SHORT)
+    outcome: upstream_data.Outcome = _OUT_OF_TIME
     while entry.now_ms() < request.deadline_ms:
-        outcome = await _try_once(entry, request)
+        attempted = await _try_once(entry, request)
+        if attempted is _OUT_OF_TIME:
+            break
+        outcome = attempted
         if not _may_go_on(entry, request, outcome):
             break
         await _pause(entry, request, outcome)
@@ -158,7 +166,7 @@
     started_ms = entry.now_ms()
     left_ms = request.deadline_ms - started_ms
     if left_ms <= 0:
-        return upstream_data.NotSent(failure=_TOO_SHORT)
+        return _OUT_OF_TIME
     if routing.find_route(entry, request) != route and (
         not route.upstream.checks_tokens
     ):
