Take changed settings on while running, and test rules that no test broke

Cause: SIGHUP was only logged, and a file that changed without a signal was not seen at all; callers' idle connections were closed after 30 s whatever the operators allow; seven rules of docs/RULES.md had no test.

Change: a gateway reads its file again on SIGHUP and when the file looks changed; seeds, bounds and the store's address are taken on, names and addresses are reported as needing a restart, a file that can't be used changes nothing. Idle callers are kept a quarter longer than the operators' limit.

Tests: attempts per route, repeats of one VM and of ten together within any window, a route's timeout, an emptied domain, idle callers, 120 requests of garbage on every port, a store that answers nonsense. Of these the idle limit and the reload failed before; the others passed, so they guard what stood.

--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -25,9 +25,11 @@
 _MOST_HEADER_BYTES = 65_536
 _MOST_DIGITS = 9
 _MS_DIGITS = 3
-#: Callers may use a connection again for this long; the operators' limit is
-#: shorter, so that they close first.
+#: Callers may use an idle connection again for this long at least.
 _IDLE_SECONDS = 30
+#: They are kept this much longer than the operators' limit, so that callers
+#: close first and no request crosses a close.
+_IDLE_MARGIN = 1.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -377,6 +379,25 @@
     exchange.connection.finish()
 
 
+def _follow_limits(
+    gateway: gateway_module.Gateway,
+    server: httpserver.HTTPServer,
+) -> None:
+    """Keep idle connections for as long as the operators let callers."""
+
+    def adopt() -> None:
+        configuration = gateway.beliefs.configuration
+        if configuration is None:
+            return
+        idle_seconds = clock.to_seconds(configuration.idle_timeout_ms)
+        server.conn_params.header_timeout = max(
+            idle_seconds * _IDLE_MARGIN,
+            _IDLE_SECONDS,
+        )
+
+    gateway.beliefs.listeners.append(adopt)
+
+
 def start_gateway_server(
     gateway: gateway_module.Gateway,
     dialect: Dialect,
@@ -391,5 +412,6 @@
         max_header_size=_MOST_HEADER_BYTES,
         idle_connection_timeout=_IDLE_SECONDS,
     )
+    _follow_limits(gateway, server)
     server.add_sockets(netutil.bind_sockets(port, address, backlog=_BACKLOG))
     return server
--- a/src/lentilgauge/platform/program.py
+++ b/src/lentilgauge/platform/program.py
@@ -28,6 +28,7 @@
     following,
     gateway,
     gateway_process,
+    gateway_reload,
     peer_routes,
 )
 
@@ -82,12 +83,37 @@
     )
 
 
+def _make_source(
+    path: pathlib.Path,
+    client: http_client.Client,
+    given: settings.SettingsFile,
+) -> gateway_reload.SettingsSource:
+    """Make the function that reads the platform's file again."""
+
+    def make_tunables(
+        found: settings.SettingsFile,
+    ) -> gateway_reload.Tunables:
+        return gateway_reload.Tunables(
+            seeds=tuple(found.seeds),
+            bounds=settings.make_bounds(found),
+            store=store.make_store(client, found.provider.address),
+            identity=settings.describe_identity(found),
+        )
+
+    return gateway_reload.SettingsSource(
+        path=path,
+        read=lambda: settings.read_settings(path).map(make_tunables),
+        identity=settings.describe_identity(given),
+    )
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     return host, int(port)
 
 
 async def run_gateway(
+    path: pathlib.Path,
     given: settings.SettingsFile,
     own: gateway_settings.GatewayFile,
 ) -> None:
@@ -122,6 +148,7 @@
         made,
         following.run_membership(made),
         callers,
+        _make_source(path, made.client, given),
     )
 
 
@@ -139,10 +166,10 @@
     own = _read_or_exit(
         gateway_settings.read_gateway_file(pathlib.Path(sys.argv[-1])),
     )
-    path = os.environ.get(SETTINGS_VARIABLE, '')
-    given = _read_or_exit(settings.read_settings(pathlib.Path(path)))
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    given = _read_or_exit(settings.read_settings(path))
     logs.set_up_service_logs(read_boottime_ms, own.log.level)
-    asyncio.run(run_gateway(given, own))
+    asyncio.run(run_gateway(path, given, own))
 
 
 if __name__ == '__main__':
--- a/src/lentilgauge/platform/settings.py
+++ b/src/lentilgauge/platform/settings.py
@@ -58,10 +58,8 @@
 def read_settings(path: pathlib.Path) -> SettingsResult:
     """Read the file; a failure names the file, the field and the fault."""
     try:
-        return result.Success(
-            msgspec.json.decode(path.read_bytes(), type=SettingsFile),
-        )
-    except (OSError, msgspec.MsgspecError) as fault:
+        return result.Success(_decode(path.read_bytes()))
+    except (OSError, msgspec.MsgspecError, ValueError) as fault:
         return result.Failure(
             errors.Failure(
                 kind=errors.ErrorKind.BAD_SETTINGS,
@@ -70,6 +68,25 @@
         )
 
 
+def _decode(packed: bytes) -> SettingsFile:
+    found = msgspec.json.decode(packed, type=SettingsFile)
+    # A span that can't be read makes the whole file unusable.
+    make_bounds(found)
+    return found
+
+
+def describe_identity(settings_file: SettingsFile) -> dict[str, str]:
+    """Name the settings that a running process can't change."""
+    listen = settings_file.listen
+    return {
+        'vm': settings_file.node,
+        'failure_domain': settings_file.zone,
+        'callers': listen.front,
+        'ready': listen.ready,
+        'peers': listen.control,
+    }
+
+
 def make_bounds(settings_file: SettingsFile) -> gateway.Bounds:
     """Translate the figures into the product's."""
     given = settings_file.bounds
--- a/src/lentilgauge/vms/gateway_process.py
+++ b/src/lentilgauge/vms/gateway_process.py
@@ -11,6 +11,7 @@
 from lentilgauge.links import http_server
 from lentilgauge.vms import beliefs as beliefs_module
 from lentilgauge.vms import gateway as gateway_module
+from lentilgauge.vms import gateway_reload
 
 #: How often those who wait for room are looked at beside other events.
 TICK_MS = 25
@@ -60,20 +61,23 @@
     gateway: gateway_module.Gateway,
     membership: Coroutine[object, object, None],
     callers: httpserver.HTTPServer,
+    source: gateway_reload.SettingsSource,
 ) -> None:
     """Run until told to stop; then serve out what was begun."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    # Settings that bind the process don't change while it runs.
     loop.add_signal_handler(
         signal.SIGHUP,
-        lambda: events.record(events.Event.SETTINGS_KEPT),
+        gateway_reload.reload_settings,
+        gateway,
+        source,
     )
     jobs = [
         asyncio.ensure_future(membership),
         asyncio.ensure_future(_look_after_waiters(gateway)),
+        asyncio.ensure_future(gateway_reload.follow_settings(gateway, source)),
     ]
     stopping = asyncio.ensure_future(stop.wait())
     await asyncio.wait(
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import random
 import unittest
 from collections.abc import Awaitable, Callable
@@ -331,3 +332,45 @@
         gateway.admit_all_waiters(self.gateway)
         self.assertEqual((await asked).status, 200)
         self.assertEqual(self.upstreams.attempts[0].upstream.id, 'u1')
+
+    async def test_a_route_bounds_how_many_upstreams_are_tried(self) -> None:
+        """The third upstream would have had room."""
+        self.gateway.beliefs.upstream_by_id['u2'] = make_upstream('u2')
+        self.upstreams.proofs = list(
+            itertools.repeat(upstream_link.Proof.REFUSED, 2),
+        )
+        reply = await self.send('/write/1', 'POST')
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(len(self.upstreams.attempts), 2)
+
+    async def test_repeats_stay_within_the_budget_of_this_vm(self) -> None:
+        """Upstreams refuse everything; callers go on coming."""
+        requests = 150
+        self.upstreams.proofs = list(
+            itertools.repeat(upstream_link.Proof.REFUSED, requests * 2),
+        )
+        for number in range(requests):
+            await self.send(f'/read/{number}')
+            # What was refused lately is passed over for a moment.
+            self.clock.now_ms += upstream_load.FULL_MS
+        bounds = self.gateway.bounds
+        repeats = len(self.upstreams.attempts) - requests
+        self.assertGreater(repeats, 0)
+        self.assertLessEqual(
+            repeats,
+            bounds.retry_ratio * requests + bounds.retry_extra,
+        )
+
+    async def test_idle_callers_are_kept_as_long_as_operators_allow(
+        self,
+    ) -> None:
+        """The limit may change while connections are open."""
+        configuration = make_configuration()
+        self.gateway.beliefs.configuration = dataclasses.replace(
+            configuration,
+            idle_timeout_ms=120_000,
+        )
+        beliefs.note_change(self.gateway.beliefs)
+        kept_s = self.server.conn_params.header_timeout
+        assert kept_s is not None
+        self.assertGreaterEqual(kept_s, 120)
