Measure what a gateway costs at rest, at start and by its logs

Cause: the bounds on start, memory, store calls at rest and the price of log lines were seen on the users' bench only.

Change: make bench-gateway starts 1, 3 and 10 real gateways among stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: all test lint demo bench bench-ownership clean
+.PHONY: all test lint demo bench bench-gateway bench-ownership clean
 
 all: lint test
 
@@ -28,6 +28,9 @@
 bench: $(STAMP)
 	$(VENV)/bin/lentilgauge-load bench-entry
 
+bench-gateway: $(STAMP)
+	$(VENV)/bin/lentilgauge-load bench-gateway
+
 bench-ownership: $(STAMP)
 	$(VENV)/bin/lentilgauge-load bench-ownership
 
--- a/src/lentilgauge/load/command_line.py
+++ b/src/lentilgauge/load/command_line.py
@@ -5,6 +5,7 @@
     closed_loop,
     demo,
     entry_bench,
+    gateway_bench,
     ownership_bench,
     placement_bench,
     state_bench,
@@ -17,6 +18,7 @@
         {
             'demo': demo.run_demo,
             'bench-entry': entry_bench.run_entry_bench,
+            'bench-gateway': gateway_bench.run_gateway_bench,
             'bench-ownership': ownership_bench.run_ownership_bench,
             'bench-placement': placement_bench.run_placement_bench,
             'bench-state': state_bench.run_state_bench,
