--- a/src/lentilgauge/load/gateway_bench.py
+++ b/src/lentilgauge/load/gateway_bench.py
@@ -244,7 +244,7 @@
         place.mkdir()
         worlds[level] = _make_world(place, 1, level)
         await _start_world(client, worlds[level])
-    cost_by_level: dict[str, list[float]] = {level: [] for level in _LEVELS}
+    cost_by_level: dict[str, list[float]] = {name: [] for name in _LEVELS}
     for _ in range(_ROUNDS):
         for level, world in worlds.items():
             cost_by_level[level].append(await _measure_requests(client, world))
--- a/src/lentilgauge/standins/dialect_server.py
+++ b/src/lentilgauge/standins/dialect_server.py
@@ -1,18 +1,25 @@
 """Listen for a stand-in that speaks the users' dialect."""
 
 import asyncio
+import contextlib
 import dataclasses
 import json
+import secrets
+import socket
+import weakref
 from collections.abc import Mapping
 
-from tornado import httpserver, httputil, netutil, testing
+from tornado import httpserver, httputil, netutil
 
 _HOST = '127.0.0.1'
+_FIRST_PORT = 12_000
+_LAST_PORT = 31_999
+_PORTS = range(_FIRST_PORT, _LAST_PORT)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Answer:
-    """Hold an answer; `extra` repeats it where the next one is expected."""
+    """Hold an answer; `extra` writes it again where the next is expected."""
 
     status: int = 200
     body: object = None
@@ -21,10 +28,16 @@
 
 
 def take_port() -> int:
-    """Find a free port."""
-    probe, port = testing.bind_unused_port()
-    probe.close()
-    return int(port)
+    """Find a free port, below those that outgoing connections get.
+
+    Another process could take it before it is used; it draws at random too,
+    so that this is rare.
+    """
+    while True:
+        port = secrets.choice(_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((_HOST, port))
+            return port
 
 
 def cut_connection(request: httputil.HTTPServerRequest) -> None:
@@ -39,10 +52,14 @@
 
     def __init__(self) -> None:
         """Listen at once."""
-        self.port = take_port()
+        sockets = netutil.bind_sockets(0, _HOST)
+        self.port: int = sockets[0].getsockname()[1]
         self.server = httpserver.HTTPServer(self._receive)
-        self.server.add_sockets(netutil.bind_sockets(self.port, _HOST))
+        self.server.add_sockets(sockets)
         self.tasks: set[asyncio.Task[None]] = set()
+        self.late_by_stream: weakref.WeakKeyDictionary[object, bytes] = (
+            weakref.WeakKeyDictionary()
+        )
 
     @property
     def address(self) -> str:
@@ -74,16 +91,24 @@
             set_callback(task.cancel)
 
     async def _answer(self, request: httputil.HTTPServerRequest) -> None:
+        stream = getattr(request.connection, 'stream', None)
+        late = self.late_by_stream.pop(stream, b'')
+        if late and stream is not None:
+            # It comes where the answer to this request is expected.
+            stream.write(late)
         answer = await self.answer(request)
         if answer is not None:
-            _write(request, answer)
+            again = _write(request, answer)
+            if answer.extra and stream is not None:
+                self.late_by_stream[stream] = again
 
 
-def _write(request: httputil.HTTPServerRequest, answer: Answer) -> None:
+def _write(request: httputil.HTTPServerRequest, answer: Answer) -> bytes:
+    """Write an answer; return it as it would be written once more."""
     connection = request.connection
     stream = getattr(connection, 'stream', None)
     if connection is None or stream is None or stream.closed():
-        return
+        return b''
     body = json.dumps(answer.body).encode()
     fields = httputil.HTTPHeaders({'Content-Length': str(len(body))})
     for name, text in answer.headers.items():
@@ -94,8 +119,7 @@
         body,
     )
     connection.finish()
-    if answer.extra:
-        stream.write(_encode_again(answer.status, fields, body))
+    return _encode_again(answer.status, fields, body)
 
 
 def _encode_again(
--- a/src/lentilgauge/standins/fault_proxy.py
+++ b/src/lentilgauge/standins/fault_proxy.py
@@ -43,7 +43,7 @@
     target_port: int
     faults: FaultsMessage = dataclasses.field(default_factory=FaultsMessage)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-    running: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+    writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
 
 
 async def _wait_while_held(proxy: Proxy, direction: str) -> Treatment:
@@ -89,10 +89,19 @@
     except OSError:
         writer.close()
         return
+    both = {writer, target_writer}
+    proxy.writers |= both
     await asyncio.gather(
         _carry(proxy, 'to_target', reader, target_writer),
         _carry(proxy, 'to_source', target_reader, writer),
     )
+    proxy.writers -= both
+
+
+def reset_connections(proxy: Proxy) -> None:
+    """Cut every connection at once, with whatever is on its way."""
+    for writer in proxy.writers:
+        writer.transport.abort()
 
 
 def make_fault_routes(proxy: Proxy) -> http_server.Routes:
@@ -119,7 +128,10 @@
         address=address,
         port=control_port,
     )
+    return await _listen(proxy, address, port)
+
 
+async def _listen(proxy: Proxy, address: str, port: int) -> asyncio.Server:
     async def connect(
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -127,3 +139,10 @@
         await _connect(proxy, reader, writer)
 
     return await asyncio.start_server(connect, address, port)
+
+
+async def listen(proxy: Proxy, *, address: str) -> int:
+    """Carry connections from a free port, in this process; return it."""
+    server = await _listen(proxy, address, 0)
+    port: int = server.sockets[0].getsockname()[1]
+    return port
