Serve metrics under names and units that scrapers expect, and report burn from them

Cause: a request's service and outcome shared one label, latencies were quantiles in microseconds, and lentilgauge-report read runs of the load tool only, so nobody could judge a gateway's service from what it serves.

Change: lentilgauge_requests_total by service, route and outcome; lentilgauge_request_duration_seconds as a histogram with cumulative buckets; routes beyond 40 count as one, as a histogram takes some 30 KB. lentilgauge-report metrics OBJECTIVES SCRAPE... sums the scrapes of several VMs. The test drives a real gateway, lets the pool refuse half, and reads 5.00 times the budget of 0.9 back.

--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -32,6 +32,9 @@
 _IDLE_MARGIN = 1.25
 #: A process that has just started knows a configuration about this much later.
 _UNREADY_MS = 250
+#: Routes with metrics of their own: a histogram takes some 30 KB.
+_MOST_COUNTED_ROUTES = 40
+_OTHER_ROUTES = 'other'
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -265,12 +268,27 @@
 
 def _count(exchange: Exchange, outcome: str) -> None:
     counted = exchange.gateway.metrics
-    service = ''
+    place = {'service': '', 'route': ''}
     if exchange.request is not None:
-        service = exchange.request.service
-    counted.count('requests', f'{service}/{outcome}')
+        place['service'] = exchange.request.service
+        place['route'] = _name_route(exchange.gateway, exchange.request)
+    counted.count('requests', **place, outcome=outcome)
     span_us = (time.monotonic_ns() - exchange.started_ns) / clock.NS_PER_US
-    counted.record_us('request', service, span_us)
+    counted.record_us('request_duration', '', span_us, **place)
+
+
+def _name_route(
+    gateway: gateway_module.Gateway,
+    request: gateway_request.Request,
+) -> str:
+    """Name a route for metrics; beyond a number all are one."""
+    known = gateway.counted_routes
+    name = request.route.name
+    if name not in known:
+        if len(known) >= _MOST_COUNTED_ROUTES:
+            return _OTHER_ROUTES
+        known.add(name)
+    return name
 
 
 def _log_answer(
--- a/src/lentilgauge/report/command_line.py
+++ b/src/lentilgauge/report/command_line.py
@@ -8,7 +8,7 @@
 from lentilgauge import programs
 from lentilgauge.load import results
 from lentilgauge.operators import tables
-from lentilgauge.report import burn, objectives
+from lentilgauge.report import burn, objectives, scrapes
 
 _EXIT_BAD_INPUT = 2
 _MS_PER_SECOND = 1000
@@ -50,6 +50,37 @@
     return [float(one) * _MS_PER_SECOND for one in str(windows).split('/')]
 
 
+def _read_objectives(objectives_file: str) -> list[burn.Objective]:
+    """Read objectives, or exit after saying what is wrong with them."""
+    read = objectives.read_objectives(pathlib.Path(objectives_file))
+    if isinstance(read, result.Success):
+        owed: list[burn.Objective] = read.unwrap()
+        return owed
+    sys.stderr.write(f'{read.failure().detail}\n')
+    sys.exit(_EXIT_BAD_INPUT)
+
+
+def report_metrics(objectives_file: str, *scraped: str) -> None:
+    """Report routes' burn from gateways' metrics, one file a VM."""
+    owed = _read_objectives(objectives_file)
+    counts = scrapes.read_scrapes(pathlib.Path(path) for path in scraped)
+    burns = [
+        scrapes.measure_route(one, counts.get(one.kind, scrapes.RouteCounts()))
+        for one in owed
+    ]
+    told = [
+        f'{one.kind}: {outcome} {number}'
+        for one in burns
+        for outcome, number in sorted(one.errors.items())
+    ]
+    parts = (
+        'Burn since the gateways started (1 spends the budget):',
+        render_burns(burns),
+        *told,
+    )
+    sys.stdout.write('\n'.join((*parts, '')))
+
+
 def report_run(
     run: str,
     objectives_file: str,
@@ -57,11 +88,7 @@
     windows: str = '5/30/300',
 ) -> None:
     """Report a load run's burn; windows are in seconds, with slashes."""
-    read = objectives.read_objectives(pathlib.Path(objectives_file))
-    if not isinstance(read, result.Success):
-        sys.stderr.write(f'{read.failure().detail}\n')
-        sys.exit(_EXIT_BAD_INPUT)
-    owed: list[burn.Objective] = read.unwrap()
+    owed = _read_objectives(objectives_file)
     seen = _read_observations(run)
     spans = _parse_windows(windows)
     worst = [burn.find_worst_window(one, seen, spans[0]) for one in owed]
@@ -80,4 +107,4 @@
 
 def main() -> None:
     """Start from the command line."""
-    programs.run_program({'run': report_run})
+    programs.run_program({'run': report_run, 'metrics': report_metrics})
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -107,6 +107,7 @@
     credits_by_route: dict[str, routes.Credits] = dataclasses.field(
         default_factory=dict,
     )
+    counted_routes: set[str] = dataclasses.field(default_factory=set)
     grants: bool = False
     outage_told_ms: int = 0
     outage_ms_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import io
 import json
 import os
 import pathlib
@@ -17,6 +18,7 @@
 from lentilgauge.links import http_client
 from lentilgauge.operators import explain
 from lentilgauge.platform import headers
+from lentilgauge.report import command_line
 from lentilgauge.standins import (
     dialect_documents,
     dialect_server,
@@ -196,6 +198,39 @@
         self.assertEqual(ran, [b'letter'])
         self.assertEqual((await self.call('/none/')).unwrap().status, 404)
 
+    async def test_the_report_reads_what_is_served_as_metrics(self) -> None:
+        await self.call_until('/read/x', 200)
+        for number in range(10):
+            await self.call('/pool/y', 'POST', f'm{number}')
+        self.pooled.faults.refuses = True
+        for number in range(10):
+            await self.call('/pool/y', 'POST', f'n{number}')
+        scraped = await http_client.send_call(
+            self.client,
+            http_client.Call(
+                method='GET',
+                url=f'http://127.0.0.1:{self.ports.metrics}/metrics',
+                timeout_ms=5000,
+            ),
+        )
+        folder = pathlib.Path(self.folder.name)
+        text = folder / 'vm-1.txt'
+        text.write_bytes(scraped.unwrap().body)
+        owed = folder / 'owed.ini'
+        owed.write_text('[objective pool]\navailability = 0.9\n')
+        printed = io.StringIO()
+        with contextlib.redirect_stdout(printed):
+            command_line.report_metrics(str(owed), str(text))
+        row = printed.getvalue().splitlines()[2].split()
+        self.assertEqual(row[0], 'pool')
+        self.assertEqual(row[2:4], ['20', '10'])
+        self.assertEqual(row[5], '5.00')
+        self.assertIn('pool: upstream_refused', printed.getvalue())
+        self.assertIn(
+            '# TYPE lentilgauge_request_duration_seconds histogram',
+            text.read_text(),
+        )
+
     async def test_a_refused_request_is_explained(self) -> None:
         """Transcript one: refused as not run, although it was sent."""
         await self.call_until('/read/x', 200)
