Send an upstream that was out of reach in an outage what a cold one bears

Change: two connections in a row that can't be made put an upstream's start in doubt; from its first answer on it gets a cold one's share for the service's cold span, if the store was away lately and nothing newer is announced. The soak's crashed upstreams now stop listening. The tests choose upstreams for a second: before 100, now at most 12.5 in an outage, and 100 with the store at hand or once there is a new announcement.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -160,6 +160,7 @@
             status=outcome.status,
             **gateway_request.describe(request, now_ms),
         )
+    _note_reach(gateway, upstream, outcome)
     match outcome.proof:
         case upstream_link.Proof.EXECUTED:
             upstream_load.note_executed(load, took_ms)
@@ -189,6 +190,20 @@
             request.avoided.add(upstream.id)
 
 
+def _note_reach(
+    gateway: gateway_module.Gateway,
+    upstream: roster.Upstream,
+    outcome: upstream_link.Outcome,
+) -> None:
+    """Note whether an upstream could be reached: if not, it may have ended."""
+    load = upstream_load.get_load(gateway.loads, upstream.id)
+    if outcome.proof is upstream_link.Proof.NOT_SENT:
+        upstream_load.note_unreachable(load, upstream.life)
+    elif outcome.status:
+        cold_ms = gateway_module.find_cold_ms(gateway, upstream.service)
+        upstream_load.note_reached(load, gateway.now_ms(), cold_ms)
+
+
 def _may_improve(
     gateway: gateway_module.Gateway,
     request: gateway_request.Request,
--- a/src/lentilgauge/load/soak_faults.py
+++ b/src/lentilgauge/load/soak_faults.py
@@ -150,16 +150,21 @@
 
 
 async def _restart_upstream(scene: Scene, span: float) -> None:
-    """Crash an upstream; it comes back under its id, cold and empty."""
+    """Crash an upstream; it comes back under its id, cold and empty.
+
+    Meanwhile nothing listens at its address.
+    """
     chosen = _claim(scene, list(scene.world.upstream_by_id))
     if chosen is None:
         return
     proxy = scene.proxy_by_upstream[chosen]
-    proxy.faults = fault_proxy.FaultsMessage(refuse=True)
-    fault_proxy.reset_connections(proxy)
+    address, _, port = scene.world.upstream_by_id[chosen].announced.partition(
+        ':',
+    )
+    await fault_proxy.close_proxy(proxy)
     scene.world.upstream_by_id[chosen].restart()
     await asyncio.sleep(span)
-    proxy.faults = fault_proxy.FaultsMessage()
+    await fault_proxy.listen(proxy, address=address, port=int(port))
     await _return_cold(scene, chosen)
 
 
--- a/src/lentilgauge/platform/objects.py
+++ b/src/lentilgauge/platform/objects.py
@@ -46,6 +46,8 @@
     max_conns: int = 0
     #: Requests a second that an upstream bears in cold start.
     cold_per_s: float = 0
+    #: How long an upstream is in cold start.
+    cold: str = '0ms'
     #: Whether each key is held by one upstream.
     sharding: bool = False
 
@@ -105,6 +107,7 @@
             health_path=service.health_path,
             most_connections=service.max_conns,
             cold_per_second=service.cold_per_s,
+            cold_ms=spans.read_span_ms(service.cold),
         )
         for service in message.services
     }
--- a/src/lentilgauge/services/routes.py
+++ b/src/lentilgauge/services/routes.py
@@ -34,7 +34,8 @@
 class Service:
     """Describe one service and what its upstreams bear.
 
-    `cold_per_second` is how many requests an upstream in cold start bears.
+    `cold_per_second` is how many requests an upstream in cold start bears,
+    and `cold_ms` how long that lasts.
     """
 
     name: str
@@ -42,6 +43,7 @@
     health_path: str
     most_connections: int
     cold_per_second: float
+    cold_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lentilgauge/standins/dialect_server.py
+++ b/src/lentilgauge/standins/dialect_server.py
@@ -93,7 +93,7 @@
     async def _answer(self, request: httputil.HTTPServerRequest) -> None:
         stream = getattr(request.connection, 'stream', None)
         late = self.late_by_stream.pop(stream, b'')
-        if late and stream is not None:
+        if late and stream is not None and not stream.closed():
             # It comes where the answer to this request is expected.
             stream.write(late)
         answer = await self.answer(request)
--- a/src/lentilgauge/standins/fault_proxy.py
+++ b/src/lentilgauge/standins/fault_proxy.py
@@ -142,12 +142,12 @@
     return await asyncio.start_server(connect, address, port)
 
 
-async def listen(proxy: Proxy, *, address: str) -> int:
-    """Carry connections from a free port, in this process; return it."""
-    server = await _listen(proxy, address, 0)
+async def listen(proxy: Proxy, *, address: str, port: int = 0) -> int:
+    """Carry connections from a port, in this process; return it."""
+    server = await _listen(proxy, address, port)
     proxy.server = server
-    port: int = server.sockets[0].getsockname()[1]
-    return port
+    taken: int = server.sockets[0].getsockname()[1]
+    return taken
 
 
 async def close_proxy(proxy: Proxy) -> None:
--- a/src/lentilgauge/upstreams/upstream_load.py
+++ b/src/lentilgauge/upstreams/upstream_load.py
@@ -22,6 +22,8 @@
 LOAD_LAPSE_MS = 150
 #: How long an upstream that couldn't be reached is passed over.
 SUSPEND_MS = 300
+#: Connections in a row that must fail before an upstream may have ended.
+_DOUBTING_FAILURES = 2
 #: How long one that refused for want of room is passed over.
 FULL_MS = 40
 #: An upstream in another failure domain counts as this much slower: bytes
@@ -39,7 +41,9 @@
     """Hold this VM's view of one upstream's load.
 
     `sent` counts what went there since it last told its load. `answer_ms` is
-    the moving average of its answers' time.
+    the moving average of its answers' time. `unreachable` counts connections
+    in a row that could not be made to its start `doubted_life`; it may have
+    started anew until `doubt_end_ms`, 0 while it has not answered again.
     """
 
     in_flight: int = 0
@@ -48,6 +52,9 @@
     sent: int = 0
     answer_ms: float = 80
     suspended_ms: int = 0
+    unreachable: int = 0
+    doubted_life: int | None = None
+    doubt_end_ms: int = 0
     cold_sent_ms: collections.deque[int] = dataclasses.field(
         default_factory=collections.deque,
     )
@@ -98,18 +105,11 @@
     return estimate_queue(load, now_ms) < most
 
 
-def allows_cold(
-    upstream: roster.Upstream,
-    load: UpstreamLoad,
-    now_ms: int,
-    share: float,
-) -> bool:
+def allows_cold(load: UpstreamLoad, now_ms: int, share: float) -> bool:
     """Tell whether an upstream in cold start may get one more from here.
 
     `share` is how many requests a second this VM may send it.
     """
-    if upstream.warm_ms <= now_ms:
-        return True
     sent_ms = load.cold_sent_ms
     while sent_ms and sent_ms[0] <= now_ms - _COLD_WINDOW_MS:
         sent_ms.popleft()
@@ -164,6 +164,36 @@
         load.sent = 0
 
 
+def note_unreachable(load: UpstreamLoad, life: int) -> None:
+    """Note that no connection could be made; the second puts it in doubt."""
+    load.unreachable += 1
+    if load.unreachable >= _DOUBTING_FAILURES:
+        load.doubted_life = life
+        load.doubt_end_ms = 0
+
+
+def note_reached(load: UpstreamLoad, now_ms: int, cold_ms: int) -> None:
+    """Note an answer; if it has started anew, it is cold for so long yet."""
+    load.unreachable = 0
+    if load.doubted_life is not None and not load.doubt_end_ms:
+        load.doubt_end_ms = now_ms + cold_ms
+
+
+def is_doubted(
+    upstream: roster.Upstream,
+    load: UpstreamLoad,
+    now_ms: int,
+) -> bool:
+    """Tell whether an upstream may have started anew without saying so.
+
+    While the store is away, an upstream that crashed and came back under its
+    id can't announce that it is cold: what is known is of its earlier start.
+    """
+    if load.doubted_life != upstream.life:
+        return False
+    return not load.doubt_end_ms or now_ms < load.doubt_end_ms
+
+
 def note_executed(load: UpstreamLoad, took_ms: float) -> None:
     """Take the time of an execution, waiting included."""
     load.answer_ms += (took_ms - load.answer_ms) * _NEWEST_SHARE
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -213,12 +213,22 @@
     return max(live, len(gateway.beliefs.ownership.vms))
 
 
-def share_cold_rate(gateway: Gateway, upstream: roster.Upstream) -> float:
-    """Find how many requests a second this VM may send a cold upstream."""
+def _find_service(gateway: Gateway, name: str) -> routes.Service | None:
     configuration = gateway.beliefs.configuration
     if configuration is None:
-        return 0
-    service = configuration.service_by_name.get(upstream.service)
+        return None
+    return configuration.service_by_name.get(name)
+
+
+def find_cold_ms(gateway: Gateway, service: str) -> int:
+    """Find how long a service's upstreams are cold after their start."""
+    found = _find_service(gateway, service)
+    return 0 if found is None else found.cold_ms
+
+
+def share_cold_rate(gateway: Gateway, upstream: roster.Upstream) -> float:
+    """Find how many requests a second this VM may send a cold upstream."""
+    service = _find_service(gateway, upstream.service)
     if service is None:
         return 0
     bounds = gateway.bounds
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -10,7 +10,7 @@
 from tornado import httputil, testing
 
 from lentilgauge import metrics
-from lentilgauge.callers import gateway_server
+from lentilgauge.callers import choosing, gateway_request, gateway_server
 from lentilgauge.contracts import ownership
 from lentilgauge.links import (
     http_client,
@@ -76,6 +76,7 @@
                 health_path='/health',
                 most_connections=10,
                 cold_per_second=5,
+                cold_ms=3000,
             ),
         },
         idle_timeout_ms=1000,
@@ -421,3 +422,58 @@
         await asyncio.gather(*asked)
         sent = [attempt.target for attempt in self.upstreams.attempts]
         self.assertEqual(sent, ['/read/1', '/read/2', '/read/0'])
+
+    def count_chosen(self, span_ms: int) -> int:
+        """Choose as often as there is room, for a while; no work takes time."""
+        load = upstream_load.get_load(self.gateway.loads, 'u0')
+        chosen = 0
+        for _ in range(0, span_ms, 10):
+            now_ms = self.clock.now_ms
+            request = gateway_request.Request(
+                id='r',
+                route=make_configuration().route_by_place[_HOST, '/write/'],
+                service='s',
+                key=None,
+                method='POST',
+                target='/write/1',
+                headers=httputil.HTTPHeaders(),
+                body=b'',
+                arrived_ms=now_ms,
+                deadline_ms=now_ms + 900,
+            )
+            if choosing.choose_upstream(self.gateway, request) is not None:
+                chosen += 1
+                load.in_flight -= 1
+            self.clock.now_ms += 10
+        return chosen
+
+    def lose_and_reach(self) -> None:
+        """Let the only upstream be out of reach, and then answer again."""
+        self.gateway.beliefs.upstream_by_id.pop('u1')
+        self.gateway.beliefs.ownership.vms = ('vm',)
+        load = upstream_load.get_load(self.gateway.loads, 'u0')
+        for _ in range(2):
+            upstream_load.note_unreachable(load, 1)
+        cold_ms = gateway.find_cold_ms(self.gateway, 's')
+        upstream_load.note_reached(load, self.clock.now_ms, cold_ms)
+
+    async def test_who_comes_back_in_an_outage_may_be_cold(self) -> None:
+        """Its announcement is of its earlier start: it can't renew it."""
+        self.gateway.outage_told_ms = self.clock.now_ms
+        self.lose_and_reach()
+        self.assertLessEqual(self.count_chosen(1000), 12.5)
+        self.clock.now_ms += 2000
+        self.assertEqual(self.count_chosen(1000), 100)
+
+    async def test_a_new_announcement_ends_the_doubt(self) -> None:
+        self.gateway.outage_told_ms = self.clock.now_ms
+        self.lose_and_reach()
+        renewed = dataclasses.replace(make_upstream('u0'), life=2)
+        self.gateway.beliefs.upstream_by_id['u0'] = renewed
+        self.assertEqual(self.count_chosen(1000), 100)
+
+    async def test_with_the_store_at_hand_announcements_are_enough(
+        self,
+    ) -> None:
+        self.lose_and_reach()
+        self.assertEqual(self.count_chosen(1000), 100)
--- a/tests/test_ownership_news.py
+++ b/tests/test_ownership_news.py
@@ -5,7 +5,7 @@
 
 from lentilgauge.contracts import ownership
 from lentilgauge.services import key_ranges
-from lentilgauge.upstreams import roster, upstream_load
+from lentilgauge.upstreams import upstream_load
 
 
 def list_rows(held: ownership.Ownership) -> list[tuple[int, int, str, bool]]:
@@ -104,20 +104,10 @@
                 self.assertGreaterEqual(sum(shares), 1)
 
     def test_any_second_holds_no_more_than_the_share(self) -> None:
-        upstream = roster.Upstream(
-            id='u',
-            service='s',
-            address='u:1',
-            failure_domain='d',
-            concurrency=2,
-            state=roster.State.READY,
-            life=1,
-            warm_ms=100_000,
-        )
         load = upstream_load.UpstreamLoad()
         sent = []
         for now_ms in range(0, 5000, 10):
-            if upstream_load.allows_cold(upstream, load, now_ms, 3):
+            if upstream_load.allows_cold(load, now_ms, 3):
                 upstream_load.note_sent(load, now_ms, cold=True)
                 sent.append(now_ms)
         for start in sent:
