Keep SIGHUP from ending a gateway that starts, and doubt whoever comes back

An upstream that couldn't be reached twice in a row gets a cold one's share until its announcement can have gone round, a second with the store at hand and the whole cold span without it. The soak finds gateways that end by themselves.

Some 20 ms of an interpreter's own start can't be covered from inside.

--- a/src/lentilgauge/callers/choosing.py
+++ b/src/lentilgauge/callers/choosing.py
@@ -82,7 +82,7 @@
     if upstream is not None:
         load = upstream_load.get_load(gateway.loads, upstream.id)
         _note_choice(request, upstream, load, now_ms)
-        cold = _may_be_cold(gateway, upstream, load, now_ms)
+        cold = _may_be_cold(upstream, load, now_ms)
         upstream_load.note_sent(load, now_ms, cold=cold)
     return upstream
 
@@ -151,23 +151,20 @@
     load = upstream_load.get_load(gateway.loads, upstream.id)
     if not upstream_load.has_room(upstream, load, now_ms):
         return False
-    if not _may_be_cold(gateway, upstream, load, now_ms):
+    if not _may_be_cold(upstream, load, now_ms):
         return True
     share = gateway_module.share_cold_rate(gateway, upstream)
     return upstream_load.allows_cold(load, now_ms, share)
 
 
 def _may_be_cold(
-    gateway: gateway_module.Gateway,
     upstream: roster.Upstream,
     load: upstream_load.UpstreamLoad,
     now_ms: int,
 ) -> bool:
-    """Tell whether an upstream is cold, or may be while the store is away."""
+    """Tell whether an upstream is cold, or may be and can't have said so."""
     if upstream.warm_ms > now_ms:
         return True
-    if gateway_module.measure_outage_age_ms(gateway) is None:
-        return False
     return upstream_load.is_doubted(upstream, load, now_ms)
 
 
--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -200,8 +200,8 @@
     if outcome.proof is upstream_link.Proof.NOT_SENT:
         upstream_load.note_unreachable(load, upstream.life)
     elif outcome.status:
-        cold_ms = gateway_module.find_cold_ms(gateway, upstream.service)
-        upstream_load.note_reached(load, gateway.now_ms(), cold_ms)
+        doubt_ms = gateway_module.find_doubt_ms(gateway, upstream.service)
+        upstream_load.note_reached(load, gateway.now_ms(), doubt_ms)
 
 
 def _may_improve(
--- a/src/lentilgauge/load/gateway_world.py
+++ b/src/lentilgauge/load/gateway_world.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import sys
+import time
 
 from lentilgauge.standins import (
     dialect_documents,
@@ -17,14 +18,15 @@
 LOOPBACK = '127.0.0.1'
 #: Settings reach a gateway through this variable of its environment.
 SETTINGS_VARIABLE = 'LENTILGAUGE_CONFIG'
-_MODULE = 'lentilgauge.platform.program'
+_MODULE = 'lentilgauge.platform'
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class GatewayProcess:
     """Hold one gateway's place, and its process while there is one.
 
-    `starts` counts the processes that ran here.
+    `starts` counts the processes that ran here, and `started` is when the last
+    began, in seconds.
     """
 
     vm: str
@@ -34,6 +36,7 @@
     module: str = _MODULE
     arguments: tuple[str, ...] = ()
     starts: int = 0
+    started: float = 0
     child: asyncio.subprocess.Process | None = None
 
     @property
@@ -129,6 +132,7 @@
             stderr=output,
         )
     gateway.starts += 1
+    gateway.started = time.monotonic()
 
 
 async def end_gateway(gateway: GatewayProcess) -> None:
--- a/src/lentilgauge/load/soak.py
+++ b/src/lentilgauge/load/soak.py
@@ -196,6 +196,28 @@
     return not wanted
 
 
+async def _watch_gateways(scene: soak_faults.Scene) -> None:
+    """Find gateways that end by themselves, and start them again."""
+    while True:
+        await asyncio.sleep(_STEP_SECONDS)
+        for gateway in scene.world.gateways:
+            if gateway.vm not in scene.busy:
+                await _restart_ended(scene, gateway)
+
+
+async def _restart_ended(
+    scene: soak_faults.Scene,
+    gateway: gateway_world.GatewayProcess,
+) -> None:
+    child = gateway.child
+    if child is not None and child.returncode is not None:
+        soak_judge.find(
+            scene.judge,
+            f'ended by itself: {gateway.vm} with {child.returncode}',
+        )
+        await gateway_world.start_gateway(scene.world, gateway)
+
+
 async def _play(plan: Plan, scene: soak_faults.Scene) -> None:
     watcher = _make_caller(scene, 'watcher')
     if not await _wait_until_served(scene, watcher, _START_SECONDS):
@@ -212,6 +234,7 @@
             soak_callers.probe_versions(prober, _PROBE_SECONDS),
         ),
     )
+    jobs.append(asyncio.ensure_future(_watch_gateways(scene)))
     await soak_faults.cause_faults(scene, plan.seconds)
     allowed = _RECOVER_SECONDS if plan.timed else _START_SECONDS
     if not await _wait_until_served(scene, watcher, allowed):
--- a/src/lentilgauge/load/soak_faults.py
+++ b/src/lentilgauge/load/soak_faults.py
@@ -20,6 +20,9 @@
 #: A leaving upstream serves on for a while after its store entry says so.
 _LINGER_SECONDS = 3.5
 _DELAY_MS = 80
+#: Before its program is read, nothing in a process can keep SIGHUP from
+#: ending it.
+_YOUNG_SECONDS = 1
 _PAUSE_SECONDS = 0.08
 _SHORTEST_SECONDS = 1
 _LONGEST_SECONDS = 5
@@ -99,7 +102,8 @@
 async def _hang_up_gateway(scene: Scene, _: float) -> None:
     """Tell some gateways in a row that their settings have changed."""
     for gateway in scene.world.gateways:
-        if gateway.vm not in scene.busy and gateway.child is not None:
+        young = time.monotonic() - gateway.started < _YOUNG_SECONDS
+        if gateway.vm not in scene.busy and gateway.child and not young:
             gateway.child.send_signal(signal.SIGHUP)
             await asyncio.sleep(_PAUSE_SECONDS)
 
@@ -158,11 +162,10 @@
     if chosen is None:
         return
     proxy = scene.proxy_by_upstream[chosen]
-    address, _, port = scene.world.upstream_by_id[chosen].announced.partition(
-        ':',
-    )
+    upstream = scene.world.upstream_by_id[chosen]
+    address, _, port = upstream.announced.partition(':')
     await fault_proxy.close_proxy(proxy)
-    scene.world.upstream_by_id[chosen].restart()
+    upstream.restart()
     await asyncio.sleep(span)
     await fault_proxy.listen(proxy, address=address, port=int(port))
     await _return_cold(scene, chosen)
--- a/src/lentilgauge/platform/program.py
+++ b/src/lentilgauge/platform/program.py
@@ -170,7 +170,3 @@
     given = _read_or_exit(settings.read_settings(path))
     logs.set_up_service_logs(read_boottime_ms, own.log.level)
     asyncio.run(run_gateway(path, given, own))
-
-
-if __name__ == '__main__':
-    main()
--- a/src/lentilgauge/upstreams/upstream_load.py
+++ b/src/lentilgauge/upstreams/upstream_load.py
@@ -22,6 +22,8 @@
 LOAD_LAPSE_MS = 150
 #: How long an upstream that couldn't be reached is passed over.
 SUSPEND_MS = 300
+#: An announcement goes round within this time, if the store is at hand.
+ANNOUNCED_MS = 1000
 #: Connections in a row that must fail before an upstream may have ended.
 _DOUBTING_FAILURES = 2
 #: How long one that refused for want of room is passed over.
@@ -172,11 +174,11 @@
         load.doubt_end_ms = 0
 
 
-def note_reached(load: UpstreamLoad, now_ms: int, cold_ms: int) -> None:
-    """Note an answer; if it has started anew, it is cold for so long yet."""
+def note_reached(load: UpstreamLoad, now_ms: int, doubt_ms: int) -> None:
+    """Note an answer; for so long yet the upstream may be cold unannounced."""
     load.unreachable = 0
     if load.doubted_life is not None and not load.doubt_end_ms:
-        load.doubt_end_ms = now_ms + cold_ms
+        load.doubt_end_ms = now_ms + doubt_ms
 
 
 def is_doubted(
@@ -184,10 +186,10 @@
     load: UpstreamLoad,
     now_ms: int,
 ) -> bool:
-    """Tell whether an upstream may have started anew without saying so.
+    """Tell whether an upstream may have started anew without saying so yet.
 
-    While the store is away, an upstream that crashed and came back under its
-    id can't announce that it is cold: what is known is of its earlier start.
+    One that crashed and comes back under its id, cold, takes requests before
+    its announcement has gone round: what is known is of its earlier start.
     """
     if load.doubted_life != upstream.life:
         return False
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -220,10 +220,16 @@
     return configuration.service_by_name.get(name)
 
 
-def find_cold_ms(gateway: Gateway, service: str) -> int:
-    """Find how long a service's upstreams are cold after their start."""
+def find_doubt_ms(gateway: Gateway, service: str) -> int:
+    """Find how long an upstream that is back may be cold unannounced.
+
+    While the store is away nobody can announce anything.
+    """
     found = _find_service(gateway, service)
-    return 0 if found is None else found.cold_ms
+    cold_ms = 0 if found is None else found.cold_ms
+    if measure_outage_age_ms(gateway) is None:
+        return min(cold_ms, upstream_load.ANNOUNCED_MS)
+    return cold_ms
 
 
 def share_cold_rate(gateway: Gateway, upstream: roster.Upstream) -> float:
