--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -34,7 +34,7 @@
 
 def is_hangup_ignored(pid: int) -> bool:
     """Tell whether a process ignores or handles SIGHUP, by its status."""
-    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    status = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='utf-8')
     masks = [
         int(line.split()[1], 16)
         for line in status.splitlines()
