Answer followers of a large fleet less often, and let large VMs grant

The log has six granters within seven seconds, each called silent by the others and replaced while nothing had been done to it, then upstreams answering "not mine", as their grants were not renewed in time. A granter answers every VM at each change: a new term serves some 400 ranges one by one, and 86 VMs ask again at once. It sat on a VM with 0.43 of a core. Ruled out: the store (calm until second 19), and the handover at second one, which took 0.4 s.

Change: beyond 20 VMs each is answered at most every 2 ms for each VM more (132 ms at 86), with all that has come meanwhile; fleets of today are as before. A granter hands over to one of the VMs with most processor, and small ones wait 0.25 s longer before they take over.

--- a/src/lentilgauge/links/peer_link.py
+++ b/src/lentilgauge/links/peer_link.py
@@ -30,12 +30,16 @@
     array_like=True,
     omit_defaults=True,
 ):
-    """Name a VM's process and where peers reach it."""
+    """Name a VM's process and where peers reach it.
+
+    `cores` is how much processor the VM has.
+    """
 
     vm: str
     address: str
     failure_domain: str
     incarnation: str
+    cores: float = 1
 
 
 class DocumentMessage(
--- a/src/lentilgauge/platform/program.py
+++ b/src/lentilgauge/platform/program.py
@@ -61,6 +61,7 @@
             address=given.listen.control,
             failure_domain=given.zone,
             incarnation=secrets.token_hex(_ID_BYTES),
+            cores=given.limits.cpu_share * given.limits.cores,
         ),
         seeds=tuple(given.seeds),
         first_start=given.bootstrap,
--- a/src/lentilgauge/platform/settings.py
+++ b/src/lentilgauge/platform/settings.py
@@ -39,6 +39,14 @@
     address: str
 
 
+class Limits(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
+    """Carry what the VM has, where it concerns the process."""
+
+    #: The share of each core that the process may use.
+    cpu_share: float = 1
+    cores: int = 1
+
+
 class SettingsFile(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
     """Carry the settings of one process."""
 
@@ -50,6 +58,7 @@
     bootstrap: bool = False
     bounds: FileBounds = FileBounds()
     provider: Provider
+    limits: Limits = Limits()
 
 
 SettingsResult = result.Result[SettingsFile, errors.Failure]
--- a/src/lentilgauge/vms/following.py
+++ b/src/lentilgauge/vms/following.py
@@ -23,6 +23,9 @@
 #: VMs ask the store at once.
 _SEED_PAUSE_MS = 60
 _OTHER_PAUSE_MS = 250
+#: A VM with at most this share of the largest one's processor waits longer.
+_SMALL_SHARE = 0.5
+_SMALL_PAUSE_MS = 250
 #: How often a VM that hears of no granter reads the store for itself.
 _DIRECT_EVERY_MS = 1000
 _RETRY_MS = 150
@@ -197,6 +200,12 @@
     pause_ms = gateway.random.uniform(_SEED_PAUSE_MS, span_ms)
     if gateway.me.address in gateway.seeds:
         pause_ms = gateway.random.uniform(0, _SEED_PAUSE_MS)
+    most = max(
+        (peer.cores for peer in gateway_module.list_live_peers(gateway)),
+        default=0,
+    )
+    if gateway.me.cores <= most * _SMALL_SHARE:
+        pause_ms += _SMALL_PAUSE_MS
     await asyncio.sleep(clock.to_seconds(pause_ms))
 
 
--- a/src/lentilgauge/vms/leading.py
+++ b/src/lentilgauge/vms/leading.py
@@ -334,10 +334,15 @@
     granting: granting_module.Granting,
     peers: list[peer_link.Peer],
 ) -> None:
-    """Stop, so that another VM can be asked to take over."""
+    """Stop, so that another VM can be asked to take over.
+
+    It is one of the largest: in a large fleet granting takes much of a core.
+    """
     if not peers or granting.stopped:
         return
-    peer = granting.gateway.random.choice(peers)
+    most = max(peer.cores for peer in peers)
+    largest = [peer for peer in peers if peer.cores == most]
+    peer = granting.gateway.random.choice(largest)
     granting.successor = peer
     granting_module.stop(granting, f'handing over to {peer.vm}')
 
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -13,6 +13,10 @@
 
 #: Changes that come within this span go out in one answer.
 GATHER_MS = 3
+#: Beyond so many VMs, each is answered less often, by this much for each one
+#: more: a granter on a small VM can give some 500 answers a second.
+_UNPACED_VMS = 20
+_PACE_EACH_MS = 2
 #: A longer wait than any VM asks for is cut to this.
 _MOST_WAIT_MS = 1000
 #: A VM that asks about the store waits hardly longer than this.
@@ -106,10 +110,24 @@
             break
         await beliefs_module.wait_for_change(gateway.beliefs, left_ms)
         await asyncio.sleep(clock.to_seconds(GATHER_MS))
+    early_ms = _measure_early_ms(gateway, message.peer.vm)
+    if early_ms > 0:
+        await asyncio.sleep(clock.to_seconds(early_ms))
     gateway.replied_ms_by_vm[message.peer.vm] = gateway.now_ms()
     return _make_reply(gateway, message)
 
 
+def _measure_early_ms(gateway: gateway_module.Gateway, vm: str) -> int:
+    """Measure how long a VM's next answer is to wait, to hold more news.
+
+    Without it, a large fleet that follows each change of many overloads its
+    granter, which then seems silent and is replaced by one as overloaded.
+    """
+    beyond = gateway_module.count_vms(gateway) - _UNPACED_VMS
+    last_ms = gateway.replied_ms_by_vm.get(vm, 0)
+    return last_ms + max(beyond, 0) * _PACE_EACH_MS - gateway.now_ms()
+
+
 def _has_news(
     gateway: gateway_module.Gateway,
     message: peer_link.FollowMessage,
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -20,7 +20,13 @@
 )
 from lentilgauge.services import key_ranges, routes
 from lentilgauge.upstreams import roster, upstream_load
-from lentilgauge.vms import beliefs, gateway, gateway_process, waiting_rooms
+from lentilgauge.vms import (
+    beliefs,
+    gateway,
+    gateway_process,
+    peer_routes,
+    waiting_rooms,
+)
 from tests import conditions
 
 _HOST = 'a.example'
@@ -453,3 +459,36 @@
         self.lose_and_reach()
         self.assertLessEqual(self.count_chosen(1000), 12.5)
         self.assertEqual(self.count_chosen(1000), 100)
+
+    async def follow(self, serial: int) -> peer_link.FollowReply:
+        """Ask as a VM that follows."""
+        return await peer_routes.answer_follower(
+            self.gateway,
+            peer_link.FollowMessage(
+                peer=peer_link.Peer(
+                    vm='asker',
+                    address='asker:1',
+                    failure_domain='d',
+                    incarnation='i',
+                ),
+                mark_by_topic={},
+                term=1,
+                serial=serial,
+                wait_ms=0,
+            ),
+        )
+
+    async def test_a_large_fleet_is_answered_less_often(self) -> None:
+        """News that comes meanwhile goes out in the same answer."""
+        self.gateway.beliefs.ownership = ownership.Ownership(
+            term=1,
+            serial=1,
+            vms=tuple(f'vm-{number}' for number in range(86)),
+        )
+        await self.follow(0)
+        asked = asyncio.ensure_future(self.follow(0))
+        await asyncio.sleep(0)
+        self.gateway.beliefs.ownership.serial = 2
+        reply = await asked
+        assert reply.news is not None
+        self.assertEqual(reply.news.serial, 2)
