End a drained upstream of the soak before it starts again

Ruled out: a crashed upstream, whose listener does end.

Change: both kinds end first, by one function.

--- a/src/lentilgauge/load/soak_faults.py
+++ b/src/lentilgauge/load/soak_faults.py
@@ -161,26 +161,34 @@
     chosen = _claim(scene, list(scene.world.upstream_by_id))
     if chosen is None:
         return
-    proxy = scene.proxy_by_upstream[chosen]
-    upstream = scene.world.upstream_by_id[chosen]
+    await _end_and_return(scene, chosen, span)
+
+
+async def _end_and_return(
+    scene: Scene,
+    upstream_id: str,
+    span: float,
+) -> None:
+    """Let an upstream's process end, and a cold one start at its address."""
+    proxy = scene.proxy_by_upstream[upstream_id]
+    upstream = scene.world.upstream_by_id[upstream_id]
     address, _, port = upstream.announced.partition(':')
     await fault_proxy.close_proxy(proxy)
     upstream.restart()
     await asyncio.sleep(span)
     await fault_proxy.listen(proxy, address=address, port=int(port))
-    await _return_cold(scene, chosen)
+    upstream.restart(_COLD_SECONDS)
+    await _announce_until_warm(scene, upstream_id)
 
 
-async def _return_cold(scene: Scene, upstream_id: str) -> None:
-    """Let an upstream start anew, and announce it until it is warm."""
-    scene.world.upstream_by_id[upstream_id].restart(_COLD_SECONDS)
+async def _announce_until_warm(scene: Scene, upstream_id: str) -> None:
     gateway_world.announce(scene.world, upstream_id)
     await asyncio.sleep(_COLD_SECONDS)
     gateway_world.announce(scene.world, upstream_id)
     scene.busy.discard(upstream_id)
 
 
-async def _drain_upstream(scene: Scene, _: float) -> None:
+async def _drain_upstream(scene: Scene, span: float) -> None:
     """Let an upstream leave as planned, and another start in its place."""
     chosen = _claim(scene, list(scene.world.upstream_by_id))
     if chosen is None:
@@ -194,7 +202,7 @@
     scene.world.store.remove('servers', chosen)
     await asyncio.sleep(_LINGER_SECONDS)
     scene.judge.leaving_by_upstream.pop(chosen)
-    await _return_cold(scene, chosen)
+    await _end_and_return(scene, chosen, span)
 
 
 async def _harm_upstream(scene: Scene, span: float) -> None:
