--- a/src/lentilgauge/load/soak_faults.py
+++ b/src/lentilgauge/load/soak_faults.py
@@ -178,13 +178,8 @@
     await asyncio.sleep(span)
     await fault_proxy.listen(proxy, address=address, port=int(port))
     upstream.restart(_COLD_SECONDS)
-    await _announce_until_warm(scene, upstream_id)
-
-
-async def _announce_until_warm(scene: Scene, upstream_id: str) -> None:
     gateway_world.announce(scene.world, upstream_id)
     await asyncio.sleep(_COLD_SECONDS)
-    gateway_world.announce(scene.world, upstream_id)
     scene.busy.discard(upstream_id)
 
 
