--- a/tests/granting_world.py
+++ b/tests/granting_world.py
@@ -6,11 +6,9 @@
 
 import asyncio
 import dataclasses
-import functools
 import itertools
 import random
 
-import msgspec
 from returns import result
 from tornado import httputil
 
@@ -25,215 +23,9 @@
 from lentilgauge.services import key_ranges, routes
 from lentilgauge.upstreams import roster, upstream_load
 from lentilgauge.vms import beliefs, following, gateway, peer_routes
-from tests import virtual_time
+from tests import granting_store, granting_upstreams, virtual_time
 
-SERVICE = 's'
 HOLD_MAX_MS = 10_000
-_DRIFT = 1.02
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Hold:
-    """Hold one granted range as an upstream sees it."""
-
-    start: int
-    end: int
-    fence: int
-    end_ms: float
-
-
-class ModelUpstream:
-    """Accept grants as the users' servers do, on a clock that runs slow."""
-
-    def __init__(self, world: 'World', name: str, life: int) -> None:
-        """Start holding nothing."""
-        self.world = world
-        self.name = name
-        self.life = life
-        self.alive = True
-        self.listed = True
-        self.holds: list[Hold] = []
-        self.seen: list[tuple[int, int, int]] = []
-
-    def entry(self) -> roster.Upstream:
-        """Describe it as announced."""
-        return roster.Upstream(
-            id=self.name,
-            service=SERVICE,
-            address=self.name,
-            failure_domain='d',
-            concurrency=2,
-            state=roster.State.READY,
-            life=self.life,
-            warm_ms=0,
-        )
-
-    def live_holds(self) -> list[Hold]:
-        """List the holds that haven't run out."""
-        if not self.alive:
-            return []
-        now_ms = self.world.now_ms()
-        return [one for one in self.holds if one.end_ms > now_ms]
-
-    def highest_seen(self, start: int, end: int) -> int:
-        """Find the highest token seen on any of the keys."""
-        return max(
-            (
-                fence
-                for low, high, fence in self.seen
-                if low <= end and high >= start
-            ),
-            default=0,
-        )
-
-    def cut_out(self, start: int, end: int) -> None:
-        """Hold none of some keys any more."""
-        left = []
-        for one in self.live_holds():
-            for low, high in (
-                (one.start, min(one.end, start - 1)),
-                (max(one.start, end + 1), one.end),
-            ):
-                if low <= high:
-                    left.append(dataclasses.replace(one, start=low, end=high))
-        self.holds = left
-
-    def grant(
-        self,
-        order: upstream_link.KeyOrder,
-        arrived_ms: int,
-    ) -> upstream_link.GrantAnswer:
-        """Take keys, unless a higher token was seen on one of them."""
-        if self.highest_seen(order.start, order.end) > order.fence:
-            return upstream_link.GrantAnswer.FENCED
-        self.seen.append((order.start, order.end, order.fence))
-        self.cut_out(order.start, order.end)
-        hold = Hold(
-            start=order.start,
-            end=order.end,
-            fence=order.fence,
-            end_ms=arrived_ms + order.hold_ms * _DRIFT,
-        )
-        if hold.end_ms > self.world.now_ms():
-            self.world.check_fence(self.name, order)
-            self.holds.append(hold)
-        self.world.check_holds()
-        return upstream_link.GrantAnswer.ACCEPTED
-
-    def release(self, order: upstream_link.KeyOrder) -> None:
-        """Hold none of the keys any more."""
-        self.seen.append((order.start, order.end, order.fence))
-        self.cut_out(order.start, order.end)
-
-
-class ModelStore:
-    """Keep the record, and the topics as the world has them."""
-
-    def __init__(self, world: 'World') -> None:
-        """Start with nothing recorded."""
-        self.world = world
-        self.revision = 1
-        self.document: store_link.Document | None = None
-        self.away: set[str] = set()
-        self.lose: float = 0
-
-    def make_link(self, vm: str) -> store_link.Store:
-        """Make the functions through which a VM reaches the store."""
-        return store_link.Store(
-            list_topic=functools.partial(self.list_topic, vm),
-            watch_topic=functools.partial(self.watch_topic, vm),
-            read_record=functools.partial(self.read_record, vm),
-            write_record=functools.partial(self.write_record, vm),
-        )
-
-    async def reach(self, vm: str, patience_seconds: float = 0.3) -> bool:
-        """Tell whether a VM's call gets through."""
-        await asyncio.sleep(0.004)
-        if vm not in self.away and 'all' not in self.away:
-            return True
-        await asyncio.sleep(patience_seconds)
-        return False
-
-    async def list_topic(
-        self,
-        vm: str,
-        topic: store_link.Topic,
-    ) -> store_link.ListingResult:
-        """Read a topic."""
-        if not await self.reach(vm):
-            return result.Failure(store_link.Failure.REFUSED)
-        return result.Success(
-            store_link.Listing(
-                mark=self.revision,
-                document_by_name=self.world.list_documents(topic),
-            ),
-        )
-
-    async def watch_topic(
-        self,
-        vm: str,
-        topic: store_link.Topic,
-        mark: int,
-        wait_ms: int,
-    ) -> store_link.ChangesResult:
-        """Wait for changes; whoever sees one has to read the topic again."""
-        for _ in range(wait_ms // 50):
-            if not await self.reach(vm, 0):
-                return result.Failure(store_link.Failure.UNKNOWN)
-            found = self.world.list_documents(topic)
-            if any(one.revision > mark for one in found.values()):
-                return result.Failure(store_link.Failure.HISTORY_GONE)
-            await asyncio.sleep(0.05)
-        return result.Success(
-            store_link.Changes(mark=self.revision, changes=()),
-        )
-
-    async def read_record(self, vm: str) -> store_link.RecordResult:
-        """Read the record."""
-        if not await self.reach(vm):
-            return result.Failure(store_link.Failure.REFUSED)
-        return result.Success(
-            store_link.RecordReading(
-                mark=self.revision,
-                document=self.document,
-            ),
-        )
-
-    async def write_record(
-        self,
-        vm: str,
-        body: object,
-        revision: int,
-    ) -> store_link.WriteResult:
-        """Replace the record, perhaps late and unanswered."""
-        if not await self.reach(vm, 0):
-            return result.Failure(store_link.Failure.REFUSED)
-        if self.world.random.random() < self.lose:
-            self.world.later(
-                self.world.random.uniform(0, 3),
-                self.write,
-                body,
-                revision,
-            )
-            await asyncio.sleep(1)
-            return result.Failure(store_link.Failure.UNKNOWN)
-        written = self.write(body, revision)
-        if written is None:
-            return result.Failure(store_link.Failure.CONFLICT)
-        return result.Success(written)
-
-    def write(self, body: object, revision: int) -> store_link.Document | None:
-        """Replace the record if its revision is the given one."""
-        known = 0 if self.document is None else self.document.revision
-        if known != revision:
-            return None
-        self.revision += 1
-        self.document = store_link.Document(
-            name='record',
-            revision=self.revision,
-            body=msgspec.to_builtins(body),
-        )
-        return self.document
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -258,8 +50,8 @@
         """Start the upstreams; VMs are started one by one."""
         self.loop = loop
         self.random = random.Random(seed)
-        self.store = ModelStore(self)
-        self.upstream_by_name: dict[str, ModelUpstream] = {}
+        self.store = granting_store.ModelStore(self)
+        self.upstream_by_name: dict[str, granting_upstreams.ModelUpstream] = {}
         self.last_fence_by_key: dict[int, tuple[str, int]] = {}
         self.violations: list[str] = []
         self.granters: list[str] = []
@@ -284,7 +76,9 @@
     def start_upstream(self, name: str) -> None:
         """Start an upstream, anew if it was there before."""
         self.lives += 1
-        self.upstream_by_name[name] = ModelUpstream(self, name, self.lives)
+        self.upstream_by_name[name] = granting_upstreams.ModelUpstream(
+            self, name, self.lives
+        )
         self.note_listing(name)
 
     def kill_upstream(self, name: str, *, listed: bool) -> None:
@@ -469,7 +263,7 @@
 
     def carry_out(
         self,
-        upstream: ModelUpstream,
+        upstream: granting_upstreams.ModelUpstream,
         order: upstream_link.KeyOrder,
         arrived_ms: int,
         grant: bool,
@@ -532,8 +326,8 @@
         version=1,
         route_by_place={},
         service_by_name={
-            SERVICE: routes.Service(
-                name=SERVICE,
+            granting_upstreams.SERVICE: routes.Service(
+                name=granting_upstreams.SERVICE,
                 keyed=True,
                 health_path='',
                 most_connections=10,
