Split the tests of a gateway by what they drive

The parts that other tests borrow stand alone now, and what a gateway chooses and tells other VMs is tested apart from how it serves callers. No test or check has changed.

--- /dev/null
+++ b/tests/gateway_parts.py
@@ -0,0 +1,179 @@
+"""Make a gateway around upstreams that a test plays."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+
+from tornado import httputil
+
+from lentilgauge import metrics
+from lentilgauge.links import (
+    http_client,
+    peer_link,
+    store_link,
+    upstream_link,
+)
+from lentilgauge.services import routes
+from lentilgauge.upstreams import roster, upstream_load
+from lentilgauge.vms import (
+    beliefs,
+    gateway,
+)
+
+HOST = 'a.example'
+Answer = Callable[[upstream_link.Attempt], Awaitable[upstream_link.Outcome]]
+
+
+class Clock:
+    """Hold a time that a test sets."""
+
+    def __init__(self) -> None:
+        """Start somewhere."""
+        self.now_ms = 1_000_000
+
+    def read(self) -> int:
+        """Read the time."""
+        return self.now_ms
+
+
+async def refuse_store(*_: object) -> object:
+    """Stand for a store that no test here asks."""
+    raise AssertionError('the store is not asked')
+
+
+def make_configuration(*, keyed: bool = False) -> routes.Configuration:
+    """Make a configuration of two routes to one service."""
+    made = [
+        routes.Route(
+            name=name,
+            host=HOST,
+            prefix=f'/{name}/',
+            idempotent=name == 'read',
+            timeout_ms=900,
+            target_ms=300,
+            rank=0,
+            most_attempts=2,
+            parts=(routes.Part(service='s'),),
+        )
+        for name in ('read', 'write')
+    ]
+    return routes.Configuration(
+        version=1,
+        route_by_place={(one.host, one.prefix): one for one in made},
+        service_by_name={
+            's': routes.Service(
+                name='s',
+                keyed=keyed,
+                health_path='/health',
+                most_connections=10,
+                cold_per_second=5,
+                cold_ms=3000,
+            ),
+        },
+        idle_timeout_ms=1000,
+        header_timeout_ms=1000,
+        most_body_bytes=1000,
+        most_header_bytes=1000,
+    )
+
+
+def make_upstream(name: str, domain: str = 'd') -> roster.Upstream:
+    """Make an upstream that takes work."""
+    return roster.Upstream(
+        id=name,
+        service='s',
+        address=f'{name}:1',
+        failure_domain=domain,
+        concurrency=2,
+        state=roster.State.READY,
+        life=1,
+        warm_ms=0,
+    )
+
+
+class Upstreams:
+    """Answer attempts as a test says, and keep them."""
+
+    def __init__(self) -> None:
+        """Start by executing everything."""
+        self.attempts: list[upstream_link.Attempt] = []
+        self.proofs: list[upstream_link.Proof] = []
+        self.hold: asyncio.Event | None = None
+        self.cancelled = 0
+
+    async def answer(
+        self,
+        attempt: upstream_link.Attempt,
+    ) -> upstream_link.Outcome:
+        """Answer one attempt."""
+        copied = httputil.HTTPHeaders(attempt.headers)
+        self.attempts.append(dataclasses.replace(attempt, headers=copied))
+        if self.hold is not None:
+            try:
+                await self.hold.wait()
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        proof = upstream_link.Proof.EXECUTED
+        if self.proofs:
+            proof = self.proofs.pop(0)
+        return upstream_link.Outcome(
+            proof=proof,
+            status=200,
+            headers=httputil.HTTPHeaders({'X-Seal': 'sealed'}),
+            body=b'done',
+        )
+
+
+def make_gateway(upstreams: Upstreams, clock: Clock) -> gateway.Gateway:
+    """Make a gateway that knows a configuration and two upstreams."""
+    believed = beliefs.make_beliefs(
+        beliefs.Decoders(
+            read_configuration=lambda _: None,
+            read_upstream=lambda *_: None,
+        ),
+        clock.read,
+    )
+    believed.configuration = make_configuration()
+    believed.upstream_by_id = {
+        name: make_upstream(name) for name in ('u0', 'u1')
+    }
+    return gateway.Gateway(
+        me=peer_link.Peer(
+            vm='vm',
+            address='vm:1',
+            failure_domain='d',
+            incarnation='i',
+        ),
+        seeds=(),
+        first_start=True,
+        bounds=gateway.Bounds(
+            hold_ms=10_000,
+            cold_burst_factor=1.5,
+            cold_slack=5,
+            retry_ratio=0.2,
+            retry_window_ms=10_000,
+            retry_extra=60,
+            drain_ms=2000,
+            evacuate_ms=5000,
+            grace_ms=6000,
+        ),
+        beliefs=believed,
+        store=store_link.Store(
+            list_topic=refuse_store,  # type: ignore[arg-type]
+            watch_topic=refuse_store,  # type: ignore[arg-type]
+            read_record=refuse_store,  # type: ignore[arg-type]
+            write_record=refuse_store,  # type: ignore[arg-type]
+        ),
+        upstreams=upstream_link.UpstreamLink(
+            send_attempt=upstreams.answer,
+            grant_keys=refuse_store,  # type: ignore[arg-type]
+            release_keys=refuse_store,  # type: ignore[arg-type]
+        ),
+        client=http_client.make_client(),
+        metrics=metrics.Metrics(),
+        now_ms=clock.read,
+        random=random.Random(1),
+        loads=upstream_load.Loads(failure_domain='d'),
+    )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,7 +26,7 @@
 )
 from lentilgauge.upstreams import roster
 from lentilgauge.vms import beliefs
-from tests import test_gateway_server
+from tests import gateway_parts
 
 
 def make_document(body: object, name: str = 'u1') -> store_link.Document:
@@ -169,7 +169,7 @@
         link = upstreams.make_link(http_client.Client(send=send))
         return await link.send_attempt(
             upstream_link.Attempt(
-                upstream=test_gateway_server.make_upstream('u0'),
+                upstream=gateway_parts.make_upstream('u0'),
                 request_id='r1',
                 method='POST',
                 target='/x',
@@ -226,7 +226,7 @@
 
         link = upstreams.make_link(http_client.Client(send=send))
         order = upstream_link.KeyOrder(
-            upstream=test_gateway_server.make_upstream('u0'),
+            upstream=gateway_parts.make_upstream('u0'),
             start=1,
             end=2,
             fence=3,
@@ -253,7 +253,7 @@
             outcome = await link.send_attempt(
                 upstream_link.Attempt(
                     upstream=dataclasses.replace(
-                        test_gateway_server.make_upstream('u0'),
+                        gateway_parts.make_upstream('u0'),
                         address=upstream.address,
                     ),
                     request_id=f'r{number}',
