End the doubt in an upstream by time alone

Cause, found on reading the change once more: an upstream that could not be reached twice got a cold one's share until it had answered. In a fleet of more than some dozen VMs most have no share at all, so they would never have sent to it again, and never heard that it answers, until it started anew.

Change: each failure puts the doubt off by a second, or by the cold span while the store is away, and so does the first answer; then it ends. The test chooses as the last of 51 VMs: nothing for a second, then as ever; before, nothing for good.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -197,11 +197,12 @@
 ) -> None:
     """Note whether an upstream could be reached: if not, it may have ended."""
     load = upstream_load.get_load(gateway.loads, upstream.id)
+    doubt_ms = gateway_module.find_doubt_ms(gateway, upstream.service)
+    doubt_end_ms = gateway.now_ms() + doubt_ms
     if outcome.proof is upstream_link.Proof.NOT_SENT:
-        upstream_load.note_unreachable(load, upstream.life)
+        upstream_load.note_unreachable(load, upstream.life, doubt_end_ms)
     elif outcome.status:
-        doubt_ms = gateway_module.find_doubt_ms(gateway, upstream.service)
-        upstream_load.note_reached(load, gateway.now_ms(), doubt_ms)
+        upstream_load.note_reached(load, doubt_end_ms)
 
 
 def _may_improve(
--- a/src/lentilgauge/upstreams/upstream_load.py
+++ b/src/lentilgauge/upstreams/upstream_load.py
@@ -44,8 +44,8 @@
 
     `sent` counts what went there since it last told its load. `answer_ms` is
     the moving average of its answers' time. `unreachable` counts connections
-    in a row that could not be made to its start `doubted_life`; it may have
-    started anew until `doubt_end_ms`, 0 while it has not answered again.
+    in a row that could not be made; its start `doubted_life` may have ended,
+    and until `doubt_end_ms` another may be cold without having said so.
     """
 
     in_flight: int = 0
@@ -166,19 +166,23 @@
         load.sent = 0
 
 
-def note_unreachable(load: UpstreamLoad, life: int) -> None:
+def note_unreachable(
+    load: UpstreamLoad,
+    life: int,
+    doubt_end_ms: int,
+) -> None:
     """Note that no connection could be made; the second puts it in doubt."""
     load.unreachable += 1
     if load.unreachable >= _DOUBTING_FAILURES:
         load.doubted_life = life
-        load.doubt_end_ms = 0
+        load.doubt_end_ms = doubt_end_ms
 
 
-def note_reached(load: UpstreamLoad, now_ms: int, doubt_ms: int) -> None:
-    """Note an answer; for so long yet the upstream may be cold unannounced."""
+def note_reached(load: UpstreamLoad, doubt_end_ms: int) -> None:
+    """Note an answer; until the end it may be cold unannounced."""
+    if load.unreachable >= _DOUBTING_FAILURES:
+        load.doubt_end_ms = doubt_end_ms
     load.unreachable = 0
-    if load.doubted_life is not None and not load.doubt_end_ms:
-        load.doubt_end_ms = now_ms + doubt_ms
 
 
 def is_doubted(
@@ -190,10 +194,10 @@
 
     One that crashed and comes back under its id, cold, takes requests before
     its announcement has gone round: what is known is of its earlier start.
+    The doubt ends with time alone, as a VM without a share of the cold rate
+    would else never find out.
     """
-    if load.doubted_life != upstream.life:
-        return False
-    return not load.doubt_end_ms or now_ms < load.doubt_end_ms
+    return load.doubted_life == upstream.life and now_ms < load.doubt_end_ms
 
 
 def note_executed(load: UpstreamLoad, took_ms: float) -> None:
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -61,10 +61,11 @@
         self.gateway.beliefs.upstream_by_id.pop('u1')
         self.gateway.beliefs.ownership.vms = ('vm',)
         load = upstream_load.get_load(self.gateway.loads, 'u0')
-        for _ in range(2):
-            upstream_load.note_unreachable(load, 1)
         doubt_ms = gateway.find_doubt_ms(self.gateway, 's')
-        upstream_load.note_reached(load, self.clock.now_ms, doubt_ms)
+        doubt_end_ms = self.clock.now_ms + doubt_ms
+        for _ in range(2):
+            upstream_load.note_unreachable(load, 1, doubt_end_ms)
+        upstream_load.note_reached(load, doubt_end_ms)
 
     async def test_who_comes_back_in_an_outage_may_be_cold(self) -> None:
         """Its announcement is of its earlier start: it can't renew it."""
@@ -74,6 +75,14 @@
         self.clock.now_ms += 2000
         self.assertEqual(self.count_chosen(1000), 100)
 
+    async def test_the_doubt_ends_for_who_has_no_share(self) -> None:
+        """The last VM of a large fleet may send a cold upstream nothing."""
+        self.lose_and_reach()
+        others = (f'other-{number}' for number in range(50))
+        self.gateway.beliefs.ownership.vms = (*others, 'vm')
+        self.assertEqual(self.count_chosen(1000), 0)
+        self.assertEqual(self.count_chosen(1000), 100)
+
     async def test_a_new_announcement_ends_the_doubt(self) -> None:
         self.gateway.outage_told_ms = self.clock.now_ms
         self.lose_and_reach()
