--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import io
+import itertools
 import json
 import os
 import pathlib
@@ -86,6 +87,7 @@
     async def asyncSetUp(self) -> None:
         """Start the stand-ins and a gateway process."""
         self.folder = tempfile.TemporaryDirectory()
+        self.numbers = itertools.count()
         self.store = dialect_store.Store()
         self.keyed = [
             dialect_upstream.Upstream(f'k{number}', keyed=True)
@@ -176,8 +178,10 @@
 
     async def call_until(self, path: str, wanted: int) -> http_client.Reply:
         """Send a request until it gets a status."""
-        for number in range(_TRIES):
-            called = await self.call(path, request_id=f'try-{number}')
+        for _ in range(_TRIES):
+            # Each has an id of its own, or its story would be another's.
+            request_id = f'try-{next(self.numbers)}'
+            called = await self.call(path, request_id=request_id)
             if isinstance(called, result.Success):
                 reply: http_client.Reply = called.unwrap()
                 if reply.status == wanted:
