Make the bounds of tested gateways once

The same figures stood in the model of granting and in the parts of a gateway; both take the one now.

--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -23,6 +23,18 @@
 
 HOST = 'a.example'
 Answer = Callable[[upstream_link.Attempt], Awaitable[upstream_link.Outcome]]
+#: The figures that the users' settings bound a process with today.
+BOUNDS = gateway.Bounds(
+    hold_ms=10_000,
+    cold_burst_factor=1.5,
+    cold_slack=5,
+    retry_ratio=0.2,
+    retry_window_ms=10_000,
+    retry_extra=60,
+    drain_ms=2000,
+    evacuate_ms=5000,
+    grace_ms=6000,
+)
 
 
 class Clock:
@@ -148,17 +160,7 @@
         ),
         seeds=(),
         first_start=True,
-        bounds=gateway.Bounds(
-            hold_ms=10_000,
-            cold_burst_factor=1.5,
-            cold_slack=5,
-            retry_ratio=0.2,
-            retry_window_ms=10_000,
-            retry_extra=60,
-            drain_ms=2000,
-            evacuate_ms=5000,
-            grace_ms=6000,
-        ),
+        bounds=BOUNDS,
         beliefs=believed,
         store=store_link.Store(
             list_topic=refuse_store,  # type: ignore[arg-type]
--- a/tests/granting_world.py
+++ b/tests/granting_world.py
@@ -23,9 +23,12 @@
 from lentilgauge.services import key_ranges, routes
 from lentilgauge.upstreams import roster, upstream_load
 from lentilgauge.vms import beliefs, following, gateway, peer_routes
-from tests import granting_store, granting_upstreams, virtual_time
-
-HOLD_MAX_MS = 10_000
+from tests import (
+    gateway_parts,
+    granting_store,
+    granting_upstreams,
+    virtual_time,
+)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -154,17 +157,7 @@
             ),
             seeds=('vm0', 'vm1'),
             first_start=True,
-            bounds=gateway.Bounds(
-                hold_ms=HOLD_MAX_MS,
-                cold_burst_factor=1.5,
-                cold_slack=5,
-                retry_ratio=0.2,
-                retry_window_ms=10_000,
-                retry_extra=60,
-                drain_ms=2000,
-                evacuate_ms=5000,
-                grace_ms=6000,
-            ),
+            bounds=gateway_parts.BOUNDS,
             beliefs=beliefs.make_beliefs(
                 beliefs.Decoders(
                     read_configuration=lambda _: make_configuration(),
