Disturb a gateway of the soak in one place

Four faults each noted the disturbance, its end and that the VM is free again; one block does it now, also where the fault raises. No check has changed.

--- a/src/lentilgauge/load/soak_faults.py
+++ b/src/lentilgauge/load/soak_faults.py
@@ -66,37 +66,31 @@
     gateway = _choose_gateway(scene)
     if gateway is None:
         return
-    soak_judge.disturb(scene.judge, gateway.vm)
-    await gateway_world.end_gateway(gateway)
-    await asyncio.sleep(span / 2)
-    await gateway_world.start_gateway(scene.world, gateway)
-    soak_judge.calm(scene.judge, gateway.vm)
-    scene.busy.discard(gateway.vm)
+    with soak_judge.disturbing(scene.judge, gateway.vm, scene.busy):
+        await gateway_world.end_gateway(gateway)
+        await asyncio.sleep(span / 2)
+        await gateway_world.start_gateway(scene.world, gateway)
 
 
 async def _stop_gateway(scene: Scene, _: float) -> None:
     gateway = _choose_gateway(scene)
     if gateway is None or gateway.child is None:
         return
-    soak_judge.disturb(scene.judge, gateway.vm)
-    gateway.child.send_signal(signal.SIGTERM)
-    await gateway.child.wait()
-    await gateway_world.start_gateway(scene.world, gateway)
-    soak_judge.calm(scene.judge, gateway.vm)
-    scene.busy.discard(gateway.vm)
+    with soak_judge.disturbing(scene.judge, gateway.vm, scene.busy):
+        gateway.child.send_signal(signal.SIGTERM)
+        await gateway.child.wait()
+        await gateway_world.start_gateway(scene.world, gateway)
 
 
 async def _pause_gateway(scene: Scene, span: float) -> None:
     gateway = _choose_gateway(scene)
     if gateway is None or gateway.child is None:
         return
-    soak_judge.disturb(scene.judge, gateway.vm)
-    gateway.child.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(span)
-    soak_judge.note_thaw(scene.judge)
-    gateway.child.send_signal(signal.SIGCONT)
-    soak_judge.calm(scene.judge, gateway.vm)
-    scene.busy.discard(gateway.vm)
+    with soak_judge.disturbing(scene.judge, gateway.vm, scene.busy):
+        gateway.child.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(span)
+        soak_judge.note_thaw(scene.judge)
+        gateway.child.send_signal(signal.SIGCONT)
 
 
 async def _hang_up_gateway(scene: Scene, _: float) -> None:
@@ -139,10 +133,8 @@
     gateway = _choose_gateway(scene)
     if gateway is None:
         return
-    soak_judge.disturb(scene.judge, gateway.vm)
-    await _harm_link(scene, scene.store_proxy_by_vm[gateway.vm], span)
-    soak_judge.calm(scene.judge, gateway.vm)
-    scene.busy.discard(gateway.vm)
+    with soak_judge.disturbing(scene.judge, gateway.vm, scene.busy):
+        await _harm_link(scene, scene.store_proxy_by_vm[gateway.vm], span)
 
 
 async def _harm_upstream_link(scene: Scene, span: float) -> None:
--- a/src/lentilgauge/load/soak_judge.py
+++ b/src/lentilgauge/load/soak_judge.py
@@ -6,10 +6,11 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import http
 import time
-from collections.abc import Mapping
+from collections.abc import Generator, Mapping
 
 from lentilgauge.standins import (
     dialect_documents,
@@ -110,6 +111,21 @@
         judge.calm_since[subject] = time.monotonic()
 
 
+@contextlib.contextmanager
+def disturbing(
+    judge: Judge,
+    subject: str,
+    busy: set[str],
+) -> Generator[None]:
+    """Disturb a subject until the block ends; then it is free for others."""
+    disturb(judge, subject)
+    try:
+        yield
+    finally:
+        calm(judge, subject)
+        busy.discard(subject)
+
+
 def note_thaw(judge: Judge) -> None:
     """Note that a gateway has just been thawed."""
     judge.thawed = time.monotonic()
