Log grants accepted at reused addresses, and refused grants

Cause: nothing told a renewal that reached the process which follows at a holder's address from a token that two granters allocated, or from a late order. Change: a granter logs address_reused with the age of the last grant accepted there, and order_refused, which had no line.

--- a/src/lentilgauge/events.py
+++ b/src/lentilgauge/events.py
@@ -29,6 +29,8 @@
     UPSTREAM_GONE = 'upstream_gone'
     UPSTREAMS_MISSING = 'upstreams_missing'
     UPSTREAM_SILENT = 'upstream_silent'
+    ADDRESS_REUSED = 'address_reused'
+    ORDER_REFUSED = 'order_refused'
     GRANTER_STARTED = 'granter_started'
     GRANTER_STOPPED = 'granter_stopped'
     GRANTER_SILENT = 'granter_silent'
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -63,6 +63,8 @@
     granters have expired. `successor` is the peer that is asked to take over
     once this granter has stopped.
 
+    `grant_accepted_ms_by_upstream` is when each upstream last accepted a grant.
+
     `order_task_by_range_id` has the order in progress for each key range, by
     the `id()` of the range, since mutable ranges can't be dictionary keys.
     `seen_revisions` are the latest revisions of the store that this granter
@@ -93,6 +95,9 @@
             default_factory=dict,
         )
     )
+    grant_accepted_ms_by_upstream: dict[str, int] = dataclasses.field(
+        default_factory=dict,
+    )
     upstream_by_id: dict[str, upstream_state.Upstream] = dataclasses.field(
         default_factory=dict,
     )
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -19,6 +19,7 @@
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granter_state as granter_state_module
 from lentilgauge.vms import (
+    granter_upstreams,
     key_assignment,
     key_orders,
     store_access,
@@ -311,8 +312,7 @@
 def _run_due_work(granter_state: granter_state_module.GranterState) -> None:
     """Apply reports, update the assignment and start orders that are due."""
     gateway = granter_state.gateway
-    for upstream in gateway.state_cache.upstream_by_id.values():
-        granter_state.upstream_by_id[upstream.id] = upstream
+    granter_upstreams.update_upstreams(granter_state)
     gateway.pending_reports.append(gateway_module.collect_report(gateway))
     for report in gateway.pending_reports:
         key_assignment.apply_report(granter_state, report)
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -254,7 +254,11 @@
         ),
     )
     _track_silence(granter_state, upstream.id, reply.answer)
+    _log_refusal(granter_state, key_range, upstream.id, reply.answer)
     if reply.answer is upstream_link.OrderAnswer.ACCEPTED:
+        granter_state.grant_accepted_ms_by_upstream[upstream.id] = (
+            granter_state_module.now_ms(granter_state)
+        )
         grant_timing.tighten_end_after_grant(
             key_range,
             granter_state_module.now_ms(granter_state),
@@ -298,3 +302,28 @@
         since_ms=granter_state_module.now_ms(granter_state)
         - failure_streak.since_ms,
     )
+
+
+def _log_refusal(
+    granter_state: granter_state_module.GranterState,
+    key_range: key_ranges.KeyRange,
+    upstream_id: str,
+    answer: upstream_link.OrderAnswer,
+) -> None:
+    """Log a grant that its upstream has answered, but not accepted."""
+    refusals = {
+        upstream_link.OrderAnswer.FENCED,
+        upstream_link.OrderAnswer.BAD,
+    }
+    if answer not in refusals:
+        return
+    granter_state.gateway.metrics.count('orders_refused', answer)
+    events.log_event(
+        events.Event.ORDER_REFUSED,
+        upstream=upstream_id,
+        answer=answer,
+        start=key_range.start,
+        end=key_range.end,
+        fence=key_range.fence,
+        term=granter_state.ownership.term,
+    )
