Show that a renewal gives keys to the next process at an address

Cause: the model of grants took all processes of one name for one holder, so a renewal that reached the next process under the same token passed; its restarts were announced at once, under the old id. Change: upstreams restart at once or later, under the same or another id, and may be announced a second late; a token is compared with those of every other process, over all keys of its range in place of the first and the last. Two tests restart all holders between two renewals.

--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -33,6 +33,9 @@
     virtual_time,
 )
 
+#: Time after which the store removes the entry of an upstream that has ended.
+ENTRY_EXPIRY_S = 2.6
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ModelVm:
@@ -49,8 +52,10 @@
     Each breach of an invariant is appended to `violations`. Messages from
     source to destination of each pair in `cut_links` are lost, and
     `late_order_probability` is the probability that an order is executed late.
-    `last_grant_by_key` maps the first and the last key of each granted range to
-    the holder with the highest fencing token so far, and that token.
+    `entry_by_id` has the upstreams' entries in the store; that of an upstream
+    which has ended stays for `ENTRY_EXPIRY_S`. `last_fence_by_grant` maps the
+    first key, the last key and the holder's incarnation to the last fencing
+    token with which that process was granted these keys.
     `granters_at_end` is set by scenarios that check the granters at their end.
     """
 
@@ -66,14 +71,17 @@
         self.random = random.Random(seed)
         self.store = granting_store.ModelStore(self)
         self.upstream_by_name: dict[str, granting_upstreams.ModelUpstream] = {}
-        self.last_grant_by_key: dict[int, tuple[str, int]] = {}
+        self.last_fence_by_grant: dict[tuple[int, int, int], int] = {}
         self.violations: list[str] = []
         self.granters_at_end: list[str] = []
         self.vm_by_name: dict[str, ModelVm] = {}
         self.cut_links: set[tuple[str, str]] = set()
         self.late_order_probability: float = 0
         self.last_incarnation = 0
-        self.revision_by_upstream: dict[str, int] = {}
+        self.entry_by_id: dict[str, store_link.Document] = {}
+        self.announcement_by_incarnation: dict[
+            object, upstream_state.Upstream
+        ] = {}
         for number in range(upstream_count):
             self.start_upstream(f'u{number}')
         self.vm_names = [f'vm{number}' for number in range(vm_count)]
@@ -89,25 +97,52 @@
         assert callable(action)
         self.loop.call_later(seconds, action, *arguments)
 
-    def start_upstream(self, name: str) -> None:
-        """Start a new incarnation of an upstream."""
+    def start_upstream(
+        self, name: str, *, new_id: bool = False, announced_after: float = 0
+    ) -> None:
+        """Start a process at an upstream's address.
+
+        It has the id of the process before it, unless `new_id` is set, and
+        announces itself after that many seconds.
+        """
         self.last_incarnation += 1
-        self.upstream_by_name[name] = granting_upstreams.ModelUpstream(
-            self, name, self.last_incarnation
+        upstream_id = f'{name}/{self.last_incarnation}' if new_id else name
+        upstream = granting_upstreams.ModelUpstream(
+            self, name, upstream_id, self.last_incarnation
         )
-        self.record_entry_change(name)
+        self.announcement_by_incarnation[upstream.incarnation] = (
+            upstream.make_announcement()
+        )
+        earlier = self.upstream_by_name.get(name)
+        if earlier is not None and earlier.id != upstream_id:
+            self.call_later(ENTRY_EXPIRY_S, self.remove_entry, earlier.id)
+        self.upstream_by_name[name] = upstream
+        if announced_after:
+            self.call_later(announced_after, self.announce, upstream)
+        else:
+            self.announce(upstream)
 
     def kill_upstream(self, name: str, *, listed: bool) -> None:
         """Stop an upstream; its store entry stays if `listed` is true."""
         upstream = self.upstream_by_name[name]
         upstream.alive = False
-        upstream.listed = listed
-        self.record_entry_change(name)
+        if not listed:
+            self.remove_entry(upstream.id)
+
+    def announce(self, upstream: granting_upstreams.ModelUpstream) -> None:
+        """Write an upstream's store entry, if it is alive."""
+        if upstream.alive:
+            self.store.revision += 1
+            self.entry_by_id[upstream.id] = store_link.Document(
+                name=upstream.id,
+                revision=self.store.revision,
+                body=upstream.incarnation,
+            )
 
-    def record_entry_change(self, name: str) -> None:
-        """Give an upstream's store entry a new revision."""
+    def remove_entry(self, upstream_id: str) -> None:
+        """Remove an upstream's store entry."""
         self.store.revision += 1
-        self.revision_by_upstream[name] = self.store.revision
+        self.entry_by_id.pop(upstream_id, None)
 
     def list_documents(
         self,
@@ -120,15 +155,7 @@
             }
         if topic is store_link.Topic.EVACUATIONS:
             return {}
-        return {
-            name: store_link.Document(
-                name=name,
-                revision=self.revision_by_upstream[name],
-                body=upstream.incarnation,
-            )
-            for name, upstream in self.upstream_by_name.items()
-            if upstream.listed
-        }
+        return dict(self.entry_by_id)
 
     def read_upstream(
         self,
@@ -136,10 +163,7 @@
         _: int,
     ) -> upstream_state.Upstream | None:
         """Decode an upstream's store entry."""
-        upstream = self.upstream_by_name[document.name]
-        return dataclasses.replace(
-            upstream.make_announcement(), incarnation=document.body
-        )
+        return self.announcement_by_incarnation[document.body]
 
     def start_vm(self, name: str) -> None:
         """Start a VM's gateway."""
@@ -258,7 +282,7 @@
         unanswered = upstream_link.KeyReply(
             answer=upstream_link.OrderAnswer.SILENT,
         )
-        upstream = self.upstream_by_name[order.upstream.id]
+        upstream = self.upstream_by_name[order.upstream.address]
         if (source, upstream.name) in self.cut_links or not upstream.alive:
             await asyncio.sleep(order.timeout_ms / 1000)
             return unanswered
@@ -295,19 +319,21 @@
         upstream.release(order)
         return upstream_link.OrderAnswer.ACCEPTED
 
-    def check_fence(self, name: str, order: upstream_link.KeyOrder) -> None:
-        """Check that a new holder has a higher fencing token than the last.
-
-        The first and the last key of the range stand for all of its keys.
-        """
-        for key in (order.start, order.end):
-            holder, fence = self.last_grant_by_key.get(key, ('', 0))
-            if holder not in {'', name} and order.fence <= fence:
+    def check_fence(
+        self, incarnation: int, order: upstream_link.KeyOrder
+    ) -> None:
+        """Check that no other process had a key with as high a token."""
+        for grant, fence in self.last_fence_by_grant.items():
+            start, end, holder = grant
+            overlaps = start <= order.end and end >= order.start
+            if overlaps and holder != incarnation and fence >= order.fence:
                 self.violations.append(
-                    f'fencing token of key {key} does not rise: {order.fence}',
+                    f'fencing token of keys {start} to {end} does not rise: '
+                    f'{order.fence}',
                 )
-            if order.fence >= fence:
-                self.last_grant_by_key[key] = (name, order.fence)
+        self.last_fence_by_grant[order.start, order.end, incarnation] = (
+            order.fence
+        )
 
     def check_holds(self) -> None:
         """Check that no two live holds overlap."""
--- a/tests/granting_upstreams.py
+++ b/tests/granting_upstreams.py
@@ -30,26 +30,30 @@
 class ModelUpstream:
     """An upstream that accepts and fences grants as the users' servers do.
 
-    `listed` tells whether the store has an entry of the upstream. `seen_fences`
-    has the first key, last key and fencing token of each order executed.
+    `name` is its address. `seen_fences` has the first key, last key and fencing
+    token of each order executed.
     """
 
     def __init__(
-        self, model: 'granting_model.Model', name: str, incarnation: int
+        self,
+        model: 'granting_model.Model',
+        name: str,
+        upstream_id: str,
+        incarnation: int,
     ) -> None:
         """Start without holds."""
         self.model = model
         self.name = name
+        self.id = upstream_id
         self.incarnation = incarnation
         self.alive = True
-        self.listed = True
         self.holds: list[Hold] = []
         self.seen_fences: list[tuple[int, int, int]] = []
 
     def make_announcement(self) -> upstream_state.Upstream:
         """Make the upstream's announcement, as its store entry has it."""
         return upstream_state.Upstream(
-            id=self.name,
+            id=self.id,
             service=SERVICE,
             address=self.name,
             failure_domain='d',
@@ -116,7 +120,7 @@
             expires_ms=arrived_ms + order.hold_ms * _CLOCK_DRIFT_FACTOR,
         )
         if hold.expires_ms > self.model.now_ms():
-            self.model.check_fence(self.name, order)
+            self.model.check_fence(self.incarnation, order)
             self.holds.append(hold)
         self.model.check_holds()
         return upstream_link.OrderAnswer.ACCEPTED
--- a/tests/test_granting_model.py
+++ b/tests/test_granting_model.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import unittest
 from unittest import mock
 
@@ -81,13 +82,21 @@
 
 
 def restart_upstream(model: granting_model.Model) -> None:
-    """Kill a random upstream and restart it 0.2 to 4 s later."""
+    """Kill a random upstream and restart it up to 4 s later.
+
+    The new process may have another id, and may be announced late.
+    """
     name = pick_upstream(model)
-    if model.upstream_by_name[name].alive:
-        model.kill_upstream(name, listed=model.random.choice((True, False)))
-        model.call_later(
-            model.random.uniform(0.2, 4), model.start_upstream, name
-        )
+    if not model.upstream_by_name[name].alive:
+        return
+    model.kill_upstream(name, listed=model.random.choice((True, False)))
+    restart = functools.partial(
+        model.start_upstream,
+        name,
+        new_id=model.random.choice((True, False)),
+        announced_after=model.random.choice((0, 1)),
+    )
+    model.call_later(model.random.uniform(0, 4), restart)
 
 
 def toggle_late_orders(model: granting_model.Model) -> None:
@@ -302,13 +311,11 @@
             model.store.unreachable_for.add('all')
             await asyncio.sleep(3)
             upstream = model.upstream_by_name['u1']
-            upstream.listed = False
-            model.record_entry_change('u1')
+            model.remove_entry('u1')
             model.kill_vm(pick_granter(model))
             model.store.unreachable_for.clear()
             await asyncio.sleep(2)
-            upstream.listed = True
-            model.record_entry_change('u1')
+            model.announce(upstream)
             await asyncio.sleep(2.5)
             held_starts = [hold.start for hold in upstream.list_live_holds()]
             self.assertTrue(held_starts)
--- /dev/null
+++ b/tests/test_restarted_holders.py
@@ -0,0 +1,47 @@
+"""Check grants to upstreams that restart at their address."""
+
+import asyncio
+import unittest
+
+import loguru
+
+from tests import granting_model, test_granting_model, virtual_time
+
+
+def restart_each_holder(*, new_id: bool) -> granting_model.Model:
+    """Restart all holders at once; each is announced after 1.5 s."""
+    loop = virtual_time.VirtualLoop()
+    model = granting_model.Model(loop, 1)
+
+    async def start_and_restart() -> None:
+        await test_granting_model.start_all_vms(model)
+        await asyncio.sleep(2)
+        for name in tuple(model.upstream_by_name):
+            model.kill_upstream(name, listed=True)
+            model.start_upstream(name, new_id=new_id, announced_after=1.5)
+        await asyncio.sleep(6)
+
+    virtual_time.run_and_close(loop, start_and_restart())
+    return model
+
+
+class RestartedHoldersTest(unittest.TestCase):
+    """A key moves to another process under a higher fencing token only."""
+
+    def setUp(self) -> None:
+        """Suppress log lines."""
+        loguru.logger.remove()
+
+    def test_a_renewal_repeats_no_token_at_a_new_process_of_one_id(
+        self,
+    ) -> None:
+        """Guard against a restart between two renewals of a grant."""
+        model = restart_each_holder(new_id=False)
+        self.assertEqual(model.violations, [])
+
+    def test_a_renewal_repeats_no_token_at_another_id_of_one_address(
+        self,
+    ) -> None:
+        """Guard against an address that another process listens at."""
+        model = restart_each_holder(new_id=True)
+        self.assertEqual(model.violations, [])
