Give each grant a fencing token of its own

Cause: a renewal repeated the token of the first grant, and an order goes to an address: the process that started there after a crash took it for its own, under a token that its predecessor had. The class of fault: a token that stands for an assignment, not for a message, says nothing of who accepts the message. Change: the granter allocates a token for each grant, first or renewed; a stored record reserves ten million, so no write is needed before a grant and a successor starts above them. Assignments are recorded before they are granted, as before.

--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -11,6 +11,10 @@
 
 from lentilgauge.services import key_ranges
 
+#: Fencing tokens that a stored record reserves for its granter: more than it
+#: uses up during a store outage, in which no record can be written.
+RESERVED_FENCES = 10_000_000
+
 
 class RangeRow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One key range in a record, encoded as an array to be compact.
@@ -44,10 +48,11 @@
     """Snapshot of the whole ownership, for the store and between VMs.
 
     `term` increases with each granter, `serial` with each change within a
-    term. `next_fence` is the next fencing token to allocate. `vms` names, in
-    order, the VMs that share the capacity of the upstreams. `slowness_by_id` is
-    the measured slowness of each upstream, where 1 is normal. `unsettled` names
-    earlier granters that may not have stopped yet.
+    term. `next_fence` is the first fencing token that the next granter may
+    allocate. `vms` names, in order, the VMs that share the capacity of the
+    upstreams. `slowness_by_id` is the measured slowness of each upstream, where
+    1 is normal. `unsettled` names earlier granters that may not have stopped
+    yet.
     """
 
     term: int = 0
@@ -136,6 +141,13 @@
     )
 
 
+def reserve_fences(record: Record) -> Record:
+    """Reserve fencing tokens for orders sent after the record was made."""
+    return msgspec.structs.replace(
+        record, next_fence=record.next_fence + RESERVED_FENCES
+    )
+
+
 def _pack_range(key_range: key_ranges.KeyRange) -> RangeRow:
     return RangeRow(
         start=key_range.start,
--- a/src/lentilgauge/services/key_ranges.py
+++ b/src/lentilgauge/services/key_ranges.py
@@ -29,9 +29,11 @@
     may still hold the keys. Both are on the granter's clock and known to the
     granter only, as is `renewal_due_ms`, when the next grant is due.
 
-    `fence` is the fencing token of grants, `release_fence` that of the releases
-    sent to previous holders. `handover` is what a release returned, to be
-    passed on to the next holder. `serial` is the serial that the ownership had
+    `fence` is the fencing token of the assignment to the holder,
+    `release_fence` that of the releases sent to previous holders. Each grant
+    has a token of its own, above both; `granted_fence` is that of the last one
+    sent. `handover` is what a release returned, to be passed on to the next
+    holder. `serial` is the serial that the ownership had
     at the last change of this range that affects routing. `first_refused_ms`
     is when this VM first refused a request for these keys because no upstream
     served them, or 0.
@@ -43,6 +45,7 @@
     incarnation: int = 0
     fence: int = 0
     release_fence: int = 0
+    granted_fence: int = 0
     served: bool = False
     hold_end_ms: int = 0
     renewal_due_ms: int = 0
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -47,10 +47,11 @@
     """State of a granter during one term.
 
     `revision` is the store's revision of the record, and `recorded_vms` are the
-    VMs that the record names. The record covers all fencing tokens below
-    `recorded_fence_limit`. `write_due` is set when the record is to be written
-    now, and `deferred_write_due_ms` is when a deferred write is due; 0 if there
-    is none.
+    VMs that the record names. The record has all assignments whose fencing
+    tokens are below `recorded_fence_limit`, and reserves all tokens below
+    `reserved_fence_limit` for this granter. `write_due` is set when the record
+    is to be written now, and `deferred_write_due_ms` is when a deferred write
+    is due; 0 if there is none.
 
     `confirmed_ms` is the send time of the last request by which the store
     confirmed the term. `incarnation_at_confirmation_by_vm` has the peers that
@@ -76,6 +77,7 @@
     ownership: ownership_module.Ownership
     revision: int
     recorded_fence_limit: int
+    reserved_fence_limit: int
     confirmed_ms: int
     inherited_grants_end_ms: int
     term_started_ms: int = 0
@@ -232,7 +234,9 @@
     granter_state.write_due.clear()
     granter_state.deferred_write_due_ms = 0
     request_sent_ms = now_ms(granter_state)
-    record = ownership_module.make_record(granter_state.ownership)
+    record = ownership_module.reserve_fences(
+        ownership_module.make_record(granter_state.ownership)
+    )
     write_outcome = await granter_state.gateway.store.write_record(
         record,
         granter_state.revision,
@@ -260,7 +264,10 @@
     """Update the state after a record was written to the store."""
     granter_state.revision = revision
     granter_state.seen_revisions.append(revision)
-    granter_state.recorded_fence_limit = record.next_fence
+    granter_state.recorded_fence_limit = (
+        record.next_fence - ownership_module.RESERVED_FENCES
+    )
+    granter_state.reserved_fence_limit = record.next_fence
     granter_state.recorded_vms = record.vms
     note_term_confirmed(granter_state, request_sent_ms)
     state_cache_module.notify_change(granter_state.gateway.state_cache)
@@ -286,6 +293,21 @@
     granter_state.term_confirmed = True
 
 
+def take_fence(granter_state: GranterState) -> int | None:
+    """Allocate the fencing token of one grant; `None` if none is left.
+
+    Once half of the reserved tokens are used, the record is written to reserve
+    more.
+    """
+    next_fence = granter_state.ownership.next_fence
+    left = granter_state.reserved_fence_limit - next_fence
+    if left < ownership_module.RESERVED_FENCES // 2:
+        granter_state.write_due.set()
+    if left <= 0:
+        return None
+    return ownership_module.allocate_fence(granter_state.ownership)
+
+
 def note_store_outage(granter_state: GranterState, *, in_outage: bool) -> None:
     """Note whether the store is unreachable for most VMs."""
     if in_outage and not granter_state.store_outage:
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -55,7 +55,9 @@
         return None
     next_ownership = _prepare_term(gateway, record)
     revision = 0 if document is None else document.revision
-    packed_record = ownership_module.make_record(next_ownership)
+    packed_record = ownership_module.reserve_fences(
+        ownership_module.make_record(next_ownership)
+    )
     write_outcome = await gateway.store.write_record(packed_record, revision)
     if not isinstance(write_outcome, result.Success):
         events.log_event(
@@ -67,6 +69,7 @@
         ownership=next_ownership,
         revision=revision,
         recorded_fence_limit=0,
+        reserved_fence_limit=0,
         confirmed_ms=request_sent_ms,
         inherited_grants_end_ms=_bound_inherited_grants_ms(
             gateway, next_ownership
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -36,8 +36,8 @@
 ) -> bool:
     """Return whether orders for a range may be sent and none is in flight.
 
-    The range's fencing token must be covered by the ownership record, or the
-    next granter might allocate the token again.
+    The ownership record must have the range's assignment, or the next granter
+    wouldn't know who may hold the keys.
     """
     if (
         not key_range.holder
@@ -115,7 +115,7 @@
         start=key_range.start,
         end=key_range.end,
         upstream=key_range.holder,
-        fence=key_range.fence,
+        fence=key_range.granted_fence,
         term=granter_state.ownership.term,
     )
     granter_state_module.publish(granter_state, write_at_once=False)
@@ -220,10 +220,16 @@
     granter_state: granter_state_module.GranterState,
     key_range: key_ranges.KeyRange,
 ) -> upstream_link.OrderAnswer:
-    """Send one grant and update when the holder's right to the range ends."""
+    """Send one grant and update when the holder's right to the range ends.
+
+    Renewals too have a token of their own: the process that accepts one may
+    have taken the place of the holder at its address.
+    """
     upstream = granter_state.upstream_by_id.get(key_range.holder)
-    if upstream is None:
+    grant_fence = granter_state_module.take_fence(granter_state)
+    if upstream is None or grant_fence is None:
         return upstream_link.OrderAnswer.SILENT
+    key_range.granted_fence = grant_fence
     hold_ms = grant_timing.choose_hold_ms(
         outage=granter_state.store_outage,
         longest_ms=granter_state.gateway.bounds.max_hold_ms,
@@ -247,7 +253,7 @@
             upstream=upstream,
             start=key_range.start,
             end=key_range.end,
-            fence=key_range.fence,
+            fence=grant_fence,
             hold_ms=hold_ms,
             handover=key_range.handover,
             timeout_ms=grant_timing.GRANT_TIMEOUT_MS,
@@ -324,6 +330,6 @@
         answer=answer,
         start=key_range.start,
         end=key_range.end,
-        fence=key_range.fence,
+        fence=key_range.granted_fence,
         term=granter_state.ownership.term,
     )
--- a/tests/test_restarted_holders.py
+++ b/tests/test_restarted_holders.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import loguru
 
+from lentilgauge.contracts import ownership
+from lentilgauge.services import key_ranges
+from lentilgauge.vms import granter_state
 from tests import granting_model, test_granting_model, virtual_time
 
 
@@ -45,3 +49,20 @@
         """Guard against an address that another process listens at."""
         model = restart_each_holder(new_id=True)
         self.assertEqual(model.violations, [])
+
+    def test_a_token_that_renewals_repeat_is_caught(self) -> None:
+        """Mutation test: the model sees a token that is sent twice."""
+
+        def repeat_fence(state: granter_state.GranterState) -> int:
+            return state.ownership.next_fence - 1
+
+        with mock.patch.object(granter_state, 'take_fence', repeat_fence):
+            model = restart_each_holder(new_id=False)
+        self.assertIn('does not rise', str(model.violations))
+
+    def test_tokens_are_reserved_again_before_they_run_out(self) -> None:
+        """Guard against holds that end because no token is left."""
+        with mock.patch.object(ownership, 'RESERVED_FENCES', 40):
+            model = restart_each_holder(new_id=False)
+        self.assertEqual(model.violations, [])
+        self.assertEqual(model.count_held_keys(), key_ranges.KEY_COUNT)
