Name the upstream that an order is meant for

What was seen: with tokens of their own, renewals still gave keys to a process that the granter didn't know, which held them for up to 2.5 s and served no caller. Cause: requests name the instance that they expect, orders didn't. Change: grants and releases carry the same header; an order that another process rejects is a new answer, replaced: for a grant it counts as nobody listening, for a release (always on a new connection) as released.

Evidence: test_an_order_is_not_accepted_by_another_process failed before, both answers 'accepted'; it passes now, with the granting model, key ranges and the adapter (49 tests).

--- a/src/lentilgauge/contracts/grant_timing.py
+++ b/src/lentilgauge/contracts/grant_timing.py
@@ -43,7 +43,8 @@
     """Consecutive orders that an upstream has failed to answer.
 
     The first of them was counted at `since_ms`. `unreachable` counts those
-    that failed because nothing listened at the upstream's address.
+    that failed because nothing listened at the upstream's address, or another
+    process did.
     """
 
     since_ms: int
--- a/src/lentilgauge/links/upstream_link.py
+++ b/src/lentilgauge/links/upstream_link.py
@@ -71,7 +71,8 @@
     """Upstream's answer to a grant or a release.
 
     `FENCED` means that the upstream has seen a newer fencing token,
-    `UNREACHABLE` that nothing listens at its address, and `SILENT` that no
+    `UNREACHABLE` that nothing listens at its address, and `REPLACED` that
+    another process does, as the upstream has ended. `SILENT` means that no
     usable reply arrived, so that the grant or release may have taken effect.
     `BAD` is a reply with an unexpected status.
     """
@@ -79,6 +80,7 @@
     ACCEPTED = 'accepted'
     FENCED = 'fenced'
     UNREACHABLE = 'unreachable'
+    REPLACED = 'replaced'
     SILENT = 'silent'
     BAD = 'bad'
 
--- a/src/lentilgauge/platform/upstream_adapter.py
+++ b/src/lentilgauge/platform/upstream_adapter.py
@@ -181,7 +181,10 @@
             timeout_ms=order.timeout_ms,
             body=msgspec.json.encode(message),
             headers=httputil.HTTPHeaders(
-                {'Content-Type': 'application/json'},
+                {
+                    'Content-Type': 'application/json',
+                    headers.EXPECTED_INSTANCE: order.upstream.id,
+                },
             ),
             send_once=True,
             new_connection=path == _RELEASE_PATH,
@@ -214,6 +217,8 @@
             answer=upstream_link.OrderAnswer.ACCEPTED,
             handover=reply.headers.get(headers.HANDOVER, ''),
         )
+    if reply.status == _WRONG_UPSTREAM_STATUS:
+        return upstream_link.KeyReply(answer=upstream_link.OrderAnswer.REPLACED)
     if reply.status == http.HTTPStatus.CONFLICT:
         return upstream_link.KeyReply(answer=upstream_link.OrderAnswer.FENCED)
     return upstream_link.KeyReply(answer=upstream_link.OrderAnswer.BAD)
--- a/src/lentilgauge/standins/gateway_upstream.py
+++ b/src/lentilgauge/standins/gateway_upstream.py
@@ -153,12 +153,17 @@
         request: httputil.HTTPServerRequest,
     ) -> standin_server.Answer | None:
         """Answer an order or a request."""
+        expected_instance = request.headers.get(headers.EXPECTED_INSTANCE)
+        is_misdirected = expected_instance not in {None, self.name}
         if request.path in _ORDER_PATHS:
+            if is_misdirected:
+                return standin_server.Answer(
+                    status=http.HTTPStatus.MISDIRECTED_REQUEST
+                )
             return await self._answer_order(request)
-        expected_instance = request.headers.get(headers.EXPECTED_INSTANCE)
         refusal_headers = self._make_headers(request)
         refusal_headers[headers.NOT_EXECUTED] = '1'
-        if expected_instance not in {None, self.name}:
+        if is_misdirected:
             return standin_server.Answer(
                 status=http.HTTPStatus.MISDIRECTED_REQUEST,
                 headers=refusal_headers,
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -17,6 +17,15 @@
 
 #: Delay before a release or a grant is retried.
 _ORDER_RETRY_MS = 100
+#: Answers to a release after which the upstream certainly no longer holds the
+#: keys. A release uses a new connection, so they answer no earlier order.
+_RELEASING_ANSWERS = frozenset(
+    (upstream_link.OrderAnswer.ACCEPTED, upstream_link.OrderAnswer.REPLACED)
+)
+#: Answers to a grant that show that the upstream doesn't run.
+_ENDED_ANSWERS = frozenset(
+    (upstream_link.OrderAnswer.UNREACHABLE, upstream_link.OrderAnswer.REPLACED)
+)
 
 
 def start_due_orders(granter_state: granter_state_module.GranterState) -> None:
@@ -158,7 +167,7 @@
     while not _has_grant_expired(granter_state, key_range, upstream_id):
         if granter_state_module.may_send_orders(granter_state):
             reply = await _send_release(granter_state, key_range, upstream_id)
-            if reply.answer is upstream_link.OrderAnswer.ACCEPTED:
+            if reply.answer in _RELEASING_ANSWERS:
                 key_range.handover = reply.handover or key_range.handover
                 break
         await asyncio.sleep(clock.to_seconds(_ORDER_RETRY_MS))
@@ -285,11 +294,10 @@
     upstream_id: str,
     answer: upstream_link.OrderAnswer,
 ) -> None:
-    no_answer_kinds = {
-        upstream_link.OrderAnswer.SILENT,
-        upstream_link.OrderAnswer.UNREACHABLE,
-    }
-    if answer not in no_answer_kinds:
+    if (
+        answer not in _ENDED_ANSWERS
+        and answer is not upstream_link.OrderAnswer.SILENT
+    ):
         granter_state.failure_streak_by_upstream.pop(upstream_id, None)
         return
     granter_state.gateway.metrics.count('orders_unanswered', answer)
@@ -297,7 +305,7 @@
         granter_state.failure_streak_by_upstream,
         upstream_id,
         granter_state_module.now_ms(granter_state),
-        unreachable=answer is upstream_link.OrderAnswer.UNREACHABLE,
+        unreachable=answer in _ENDED_ANSWERS,
     )
     failure_streak = granter_state.failure_streak_by_upstream[upstream_id]
     events.log_event(
--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -52,6 +52,7 @@
     Each breach of an invariant is appended to `violations`. Messages from
     source to destination of each pair in `cut_links` are lost, and
     `late_order_probability` is the probability that an order is executed late.
+    `checks_expected_ids` is whether upstreams reject orders for another id.
     `entry_by_id` has the upstreams' entries in the store; that of an upstream
     which has ended stays for `ENTRY_EXPIRY_S`. `last_fence_by_grant` maps the
     first key, the last key and the holder's incarnation to the last fencing
@@ -77,6 +78,7 @@
         self.vm_by_name: dict[str, ModelVm] = {}
         self.cut_links: set[tuple[str, str]] = set()
         self.late_order_probability: float = 0
+        self.checks_expected_ids = bool(seed % 2)
         self.last_incarnation = 0
         self.entry_by_id: dict[str, store_link.Document] = {}
         self.announcement_by_incarnation: dict[
@@ -286,6 +288,10 @@
         if (source, upstream.name) in self.cut_links or not upstream.alive:
             await asyncio.sleep(order.timeout_ms / 1000)
             return unanswered
+        if self.checks_expected_ids and order.upstream.id != upstream.id:
+            return upstream_link.KeyReply(
+                answer=upstream_link.OrderAnswer.REPLACED,
+            )
         arrived_ms = self.now_ms()
         if self.random.random() < self.late_order_probability:
             self.call_later(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -260,6 +260,28 @@
         new_connections = [call.new_connection for call in calls]
         self.assertEqual(new_connections, [True, True, False, False])
 
+    async def test_an_order_is_not_accepted_by_another_process(self) -> None:
+        """Guard against orders to whichever process listens at an address."""
+        upstream = gateway_upstream.Upstream('u1', sharded=True)
+        link = upstream_adapter.make_link(http_client.make_client())
+        order = upstream_link.KeyOrder(
+            upstream=dataclasses.replace(
+                gateway_fixtures.make_upstream('u0'), address=upstream.address
+            ),
+            start=1,
+            end=2,
+            fence=3,
+            hold_ms=1000,
+            timeout_ms=5000,
+        )
+        answers = [
+            (await link.grant_keys(order)).answer,
+            (await link.release_keys(order)).answer,
+        ]
+        await upstream.close()
+        self.assertEqual(upstream.hold_table.holds, [])
+        self.assertEqual(answers, ['replaced', 'replaced'])
+
     async def test_a_second_answer_closes_the_connection(self) -> None:
         """The next request on the connection would get the late answer."""
         upstream = gateway_upstream.Upstream('u0', sharded=False)
--- a/tests/test_restarted_holders.py
+++ b/tests/test_restarted_holders.py
@@ -16,6 +16,7 @@
     """Restart all holders at once; each is announced after 1.5 s."""
     loop = virtual_time.VirtualLoop()
     model = granting_model.Model(loop, 1)
+    model.checks_expected_ids = False
 
     async def start_and_restart() -> None:
         await test_granting_model.start_all_vms(model)
