Have a restarted upstream release its keys before they move

What was seen: in the model, two upstreams held one range for up to 2.5 s. Cause: a restart under the same id was taken as proof that nothing is held; a renewal accepted by the new process before the granter knew of it was forgotten. If the upstream then drained before its new assignment was recorded, the keys were granted elsewhere without a release. Change: the end of the hold stays known, so the range is released first, one round trip for a live upstream.

--- a/src/lentilgauge/vms/key_assignment.py
+++ b/src/lentilgauge/vms/key_assignment.py
@@ -156,12 +156,8 @@
     key_range: key_ranges.KeyRange,
     upstream: upstream_state.Upstream,
 ) -> None:
-    if (
-        key_range.holder == upstream.id
-        and key_range.incarnation != upstream.incarnation
-    ):
-        # The upstream has restarted and no longer holds its earlier grants.
-        key_range.hold_end_ms = 0
+    # An upstream that has restarted lost its grants, but may have accepted a
+    # renewal since, so it has to release the keys like any other holder.
     key_ranges.reassign_range(
         key_range,
         upstream.id,
--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -112,9 +112,6 @@
         upstream = granting_upstreams.ModelUpstream(
             self, name, upstream_id, self.last_incarnation
         )
-        self.announcement_by_incarnation[upstream.incarnation] = (
-            upstream.make_announcement()
-        )
         earlier = self.upstream_by_name.get(name)
         if earlier is not None and earlier.id != upstream_id:
             self.call_later(ENTRY_EXPIRY_S, self.remove_entry, earlier.id)
@@ -134,6 +131,9 @@
     def announce(self, upstream: granting_upstreams.ModelUpstream) -> None:
         """Write an upstream's store entry, if it is alive."""
         if upstream.alive:
+            self.announcement_by_incarnation[upstream.incarnation] = (
+                upstream.make_announcement()
+            )
             self.store.revision += 1
             self.entry_by_id[upstream.id] = store_link.Document(
                 name=upstream.id,
--- a/tests/granting_upstreams.py
+++ b/tests/granting_upstreams.py
@@ -47,6 +47,7 @@
         self.id = upstream_id
         self.incarnation = incarnation
         self.alive = True
+        self.state = upstream_state.State.READY
         self.holds: list[Hold] = []
         self.seen_fences: list[tuple[int, int, int]] = []
 
@@ -58,7 +59,7 @@
             address=self.name,
             failure_domain='d',
             concurrency=2,
-            state=upstream_state.State.READY,
+            state=self.state,
             incarnation=self.incarnation,
             cold_until_ms=0,
         )
--- a/tests/test_restarted_holders.py
+++ b/tests/test_restarted_holders.py
@@ -8,6 +8,7 @@
 
 from lentilgauge.contracts import ownership
 from lentilgauge.services import key_ranges
+from lentilgauge.upstreams import upstream_state
 from lentilgauge.vms import granter_state
 from tests import granting_model, test_granting_model, virtual_time
 
@@ -51,6 +52,29 @@
         model = restart_each_holder(new_id=True)
         self.assertEqual(model.violations, [])
 
+    def test_a_restarted_holder_releases_what_a_renewal_gave_it(self) -> None:
+        """Guard against a drain before the restart is recorded."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def restart_and_drain() -> None:
+            await test_granting_model.start_all_vms(model)
+            for name in ('u1', 'u2', 'u3'):
+                model.kill_upstream(name, listed=True)
+                model.start_upstream(name, announced_after=0.9)
+                await asyncio.sleep(0.85)
+                model.store.late_write_probability = 1
+                await asyncio.sleep(0.2)
+                upstream = model.upstream_by_name[name]
+                upstream.state = upstream_state.State.DRAINING
+                model.announce(upstream)
+                await asyncio.sleep(0.2)
+                model.store.late_write_probability = 0
+                await asyncio.sleep(3)
+
+        virtual_time.run_and_close(loop, restart_and_drain())
+        self.assertEqual(model.violations, [])
+
     def test_a_token_that_renewals_repeat_is_caught(self) -> None:
         """Mutation test: the model sees a token that is sent twice."""
 
