Count the holds of previous holders in a handover

Cause: a granter that hands over says how long its grants may last, from its present holders only. A previous holder of a range that is being moved, with the long hold of an outage, could outlast that, and the successor would grant its keys too early. Change: previous holders count too. Evidence: test_a_handover_counts_the_holds_of_previous_holders failed before, 2500 ms in place of 9000; the granting model's tests pass.

--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -402,9 +402,13 @@
     0 means that this is unknown, as the end of inherited grants isn't known.
     """
     end_times_ms = [
-        key_range.hold_end_ms
+        end_ms
         for range_table in granter_state.ownership.table_by_service.values()
         for key_range in range_table.ranges
+        for end_ms in (
+            key_range.hold_end_ms,
+            *key_range.hold_end_ms_by_previous_holder.values(),
+        )
     ]
     latest_end_ms = max((granter_state.inherited_grants_end_ms, *end_times_ms))
     if latest_end_ms == grant_timing.UNKNOWN_END_MS:
