Take a takeover request for the term that it ends only

Read in the code: a request to take over names the term of the granter that has stopped, and nobody looked at it. One that arrives after another granter's term has begun made the receiver forget that granter: it waited for a hold of the requester's only, and granted keys that the present granter still renewed. It is the class of the token fault, a message meant for one state that another accepts. Change: the record's granter counts as stopped only if the request names its term.

--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -92,9 +92,9 @@
 
     `pending_reports` are the VMs' reports that this granter hasn't applied yet.
     `replied_ms_by_vm` is when this VM last replied to each follower.
-    `predecessor_hold_ms` is how long the grants of the granter that asked this
-    VM to take over may still last, as of its request; 0 if that is unknown or
-    no granter has asked.
+    `predecessor_term` is the term of the granter that asked this VM to take
+    over, and `predecessor_hold_ms` how long its grants may still last, as of
+    its request; 0 if that is unknown or no granter has asked.
 
     `outage_reported_ms` is when this VM last reported a store outage to a
     granter. A process that has just started counts as having reported one,
@@ -159,6 +159,7 @@
     takeover_requested: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event,
     )
+    predecessor_term: int = 0
     predecessor_hold_ms: int = 0
     draining: bool = False
     closing: bool = False
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -1,4 +1,4 @@
-"""State of a granter during its term, and writes of its ownership record.
+"""State of a granter during its term.
 
 The record is a snapshot of the ownership, kept in the store. An order is a
 grant or a release of keys, sent to an upstream.
@@ -8,9 +8,7 @@
 import collections
 import dataclasses
 
-from returns import result
-
-from lentilgauge import clock, events
+from lentilgauge import events
 from lentilgauge.contracts import grant_timing
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import peer_link, store_link
@@ -21,8 +19,7 @@
 
 #: Changes on which no order depends are written at most this much later, so
 #: that several share one write.
-_DEFERRED_WRITE_DELAY_MS = 400
-_WRITE_RETRY_DELAY_MS = 150
+DEFERRED_WRITE_DELAY_MS = 400
 _MAX_SEEN_REVISIONS = 200
 
 
@@ -191,88 +188,13 @@
         granter_state.write_due.set()
     elif not granter_state.deferred_write_due_ms:
         granter_state.deferred_write_due_ms = (
-            now_ms(granter_state) + _DEFERRED_WRITE_DELAY_MS
+            now_ms(granter_state) + DEFERRED_WRITE_DELAY_MS
         )
     state_cache = granter_state.gateway.state_cache
     state_cache.ownership = granter_state.ownership
     state_cache_module.notify_change(state_cache)
 
 
-async def run_record_writer(granter_state: GranterState) -> None:
-    """Write the record whenever a write is due, until the granter stops."""
-    while not granter_state.stopped:
-        if not granter_state.write_due.is_set():
-            await _wait_until_write_due(granter_state)
-        if (
-            granter_state.deferred_write_due_ms
-            and now_ms(granter_state) >= granter_state.deferred_write_due_ms
-        ):
-            granter_state.write_due.set()
-        if granter_state.write_due.is_set() and not await _try_write(
-            granter_state
-        ):
-            await asyncio.sleep(clock.to_seconds(_WRITE_RETRY_DELAY_MS))
-
-
-async def _wait_until_write_due(granter_state: GranterState) -> None:
-    remaining_ms = _DEFERRED_WRITE_DELAY_MS
-    if granter_state.deferred_write_due_ms:
-        remaining_ms = max(
-            granter_state.deferred_write_due_ms - now_ms(granter_state), 1
-        )
-    try:
-        await asyncio.wait_for(
-            granter_state.write_due.wait(),
-            clock.to_seconds(remaining_ms),
-        )
-    except TimeoutError:
-        return
-
-
-async def _try_write(granter_state: GranterState) -> bool:
-    """Write the current record; return whether the write succeeded."""
-    granter_state.write_due.clear()
-    granter_state.deferred_write_due_ms = 0
-    request_sent_ms = now_ms(granter_state)
-    record = ownership_module.reserve_fences(
-        ownership_module.make_record(granter_state.ownership)
-    )
-    write_outcome = await granter_state.gateway.store.write_record(
-        record,
-        granter_state.revision,
-    )
-    if isinstance(write_outcome, result.Success):
-        note_record_written(
-            granter_state,
-            record,
-            write_outcome.unwrap().revision,
-            request_sent_ms,
-        )
-        return True
-    granter_state.write_due.set()
-    if write_outcome.failure() is store_link.Failure.CONFLICT:
-        await resolve_write_conflict(granter_state, request_sent_ms)
-    return False
-
-
-def note_record_written(
-    granter_state: GranterState,
-    record: ownership_module.Record,
-    revision: int,
-    request_sent_ms: int,
-) -> None:
-    """Update the state after a record was written to the store."""
-    granter_state.revision = revision
-    granter_state.seen_revisions.append(revision)
-    granter_state.recorded_fence_limit = (
-        record.next_fence - ownership_module.RESERVED_FENCES
-    )
-    granter_state.reserved_fence_limit = record.next_fence
-    granter_state.recorded_vms = record.vms
-    note_term_confirmed(granter_state, request_sent_ms)
-    state_cache_module.notify_change(granter_state.gateway.state_cache)
-
-
 def note_term_confirmed(
     granter_state: GranterState, request_sent_ms: int
 ) -> None:
@@ -318,59 +240,6 @@
     granter_state.store_outage = in_outage
 
 
-async def resolve_write_conflict(
-    granter_state: GranterState, request_sent_ms: int
-) -> None:
-    """Find out from the stored record which write caused a conflict.
-
-    If it was an earlier write of this granter, which took effect without an
-    answer, the term is confirmed. If it was another granter's, this granter
-    stops.
-    """
-    read_outcome = await granter_state.gateway.store.read_record()
-    if not isinstance(read_outcome, result.Success):
-        return
-    document = read_outcome.unwrap().document
-    if document is not None:
-        check_stored_record(granter_state, document, request_sent_ms)
-
-
-def check_stored_record(
-    granter_state: GranterState,
-    document: store_link.Document,
-    request_sent_ms: int,
-) -> None:
-    """Confirm the term by the stored record, or stop this granter."""
-    record = ownership_module.parse_record(document.body)
-    if record is None or not _is_current_term(granter_state, record):
-        stop(
-            granter_state, 'the stored record is of another term or unreadable'
-        )
-        if record is not None:
-            state_cache_module.replace_ownership(
-                granter_state.gateway.state_cache, record
-            )
-        return
-    if document.revision != granter_state.revision:
-        # An earlier write took effect although its answer was lost.
-        note_record_written(
-            granter_state, record, document.revision, request_sent_ms
-        )
-        return
-    note_term_confirmed(granter_state, request_sent_ms)
-
-
-def _is_current_term(
-    granter_state: GranterState,
-    record: ownership_module.Record,
-) -> bool:
-    local_ownership = granter_state.ownership
-    return (
-        record.term == local_ownership.term
-        and record.granter == local_ownership.granter
-    )
-
-
 def stop(granter_state: GranterState, reason: str) -> None:
     """End the term on this VM: send no more orders."""
     if granter_state.stopped:
@@ -401,16 +270,14 @@
 
     0 means that this is unknown, as the end of inherited grants isn't known.
     """
-    end_times_ms = [
-        end_ms
-        for range_table in granter_state.ownership.table_by_service.values()
-        for key_range in range_table.ranges
-        for end_ms in (
-            key_range.hold_end_ms,
-            *key_range.hold_end_ms_by_previous_holder.values(),
-        )
-    ]
-    latest_end_ms = max((granter_state.inherited_grants_end_ms, *end_times_ms))
+    latest_end_ms = granter_state.inherited_grants_end_ms
+    for range_table in granter_state.ownership.table_by_service.values():
+        for key_range in range_table.ranges:
+            latest_end_ms = max(
+                latest_end_ms,
+                key_range.hold_end_ms,
+                *key_range.hold_end_ms_by_previous_holder.values(),
+            )
     if latest_end_ms == grant_timing.UNKNOWN_END_MS:
         return 0
     return max(latest_end_ms - now_ms(granter_state), 1)
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -17,23 +17,21 @@
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import http_client, peer_link, store_link
 from lentilgauge.vms import gateway as gateway_module
-from lentilgauge.vms import granter_state as granter_state_module
 from lentilgauge.vms import (
+    granter_handover,
     granter_upstreams,
     key_assignment,
     key_orders,
-    store_access,
+    record_writer,
     store_watch,
 )
+from lentilgauge.vms import granter_state as granter_state_module
 from lentilgauge.vms import state_cache as state_cache_module
 
 #: How often the term is checked against the store.
 TERM_CHECK_INTERVAL_MS = 700
 #: Longest pause between two checks for orders that are due.
 TICK_MS = 50
-#: How often a granter that can't reach the store looks for a VM that can.
-_HANDOVER_RETRY_MS = 600
-_TAKEOVER_REQUEST_TIMEOUT_MS = 600
 _VIEW_TIMEOUT_MS = 150
 #: Placeholder for the end of a grant of an earlier term. The real bound is
 #: `GranterState.inherited_grants_end_ms`.
@@ -76,7 +74,7 @@
         ),
         term_started_ms=request_sent_ms,
     )
-    granter_state_module.note_record_written(
+    record_writer.note_record_written(
         granter_state,
         packed_record,
         write_outcome.unwrap().revision,
@@ -108,7 +106,7 @@
     """Make the next term: the same holders under new fencing tokens."""
     next_ownership = ownership_module.make_ownership(record)
     had_granter = bool(next_ownership.term)
-    if had_granter and not gateway.predecessor_hold_ms:
+    if had_granter and not granter_handover.was_handed_over(gateway, record):
         next_ownership.unsettled = (
             *next_ownership.unsettled,
             next_ownership.granter,
@@ -282,9 +280,9 @@
     gateway = granter_state.gateway
     coroutines: list[Coroutine[object, object, None]] = [
         store_watch.watch_all_topics(granter_state),
-        granter_state_module.run_record_writer(granter_state),
+        record_writer.run_record_writer(granter_state),
         _check_term_periodically(granter_state),
-        _hand_over_when_needed(granter_state),
+        granter_handover.hand_over_when_needed(granter_state),
         _determine_inherited_grants_end(granter_state),
     ]
     tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
@@ -302,7 +300,9 @@
         for task in tasks:
             task.cancel()
     if granter_state.successor is not None:
-        await _request_takeover(granter_state, granter_state.successor)
+        await granter_handover.request_takeover(
+            granter_state, granter_state.successor
+        )
 
 
 def _raise_task_errors(tasks: list[asyncio.Task[None]]) -> None:
@@ -358,7 +358,7 @@
             continue
         reading = read_outcome.unwrap()
         if reading.document is not None:
-            granter_state_module.check_stored_record(
+            record_writer.check_stored_record(
                 granter_state, reading.document, request_sent_ms
             )
         await store_watch.reload_missed_topics(granter_state, reading.revision)
@@ -370,60 +370,3 @@
     if granter_state.term_confirmed:
         events.log_event(events.Event.TERM_UNCONFIRMED)
     granter_state.term_confirmed = False
-
-
-async def _hand_over_when_needed(
-    granter_state: granter_state_module.GranterState,
-) -> None:
-    """Hand over when this VM leaves or can't reach the store."""
-    gateway = granter_state.gateway
-    while not granter_state.stopped:
-        await asyncio.sleep(clock.to_seconds(TICK_MS))
-        if gateway.draining and granter_state.term_confirmed:
-            _hand_over(granter_state, gateway_module.list_live_peers(gateway))
-        elif not granter_state.term_confirmed:
-            _hand_over(
-                granter_state,
-                await store_access.find_peers_reaching_store(granter_state),
-            )
-            await asyncio.sleep(clock.to_seconds(_HANDOVER_RETRY_MS))
-
-
-def _hand_over(
-    granter_state: granter_state_module.GranterState,
-    peers: list[peer_link.Peer],
-) -> None:
-    """Stop and choose a successor at random among the largest peers.
-
-    The largest are those with the most cores, as granting takes much of a
-    core in a large fleet.
-    """
-    if not peers or granter_state.stopped:
-        return
-    max_cores = max(peer.cores for peer in peers)
-    largest_peers = [peer for peer in peers if peer.cores == max_cores]
-    peer = granter_state.gateway.random.choice(largest_peers)
-    granter_state.successor = peer
-    granter_state_module.stop(granter_state, f'handing over to {peer.vm}')
-
-
-async def _request_takeover(
-    granter_state: granter_state_module.GranterState,
-    peer: peer_link.Peer,
-) -> None:
-    """Ask a VM to take over at once, after this granter has stopped."""
-    await peer_link.call_peer(
-        granter_state.gateway.client,
-        peer_link.PeerCall(
-            address=peer.address,
-            path=peer_link.TAKEOVER_PATH,
-            timeout_ms=_TAKEOVER_REQUEST_TIMEOUT_MS,
-            message=peer_link.TakeoverMessage(
-                term=granter_state.ownership.term,
-                hold_ms=granter_state_module.bound_remaining_grants_ms(
-                    granter_state
-                ),
-            ),
-        ),
-        peer_link.StoreAccessMessage,
-    )
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -14,6 +14,7 @@
 from lentilgauge.links import upstream_link
 from lentilgauge.services import key_ranges
 from lentilgauge.vms import granter_state as granter_state_module
+from lentilgauge.vms import record_writer
 
 #: Delay before a release or a grant is retried.
 _ORDER_RETRY_MS = 100
@@ -102,7 +103,7 @@
 ) -> None:
     """Allocate higher fencing tokens after a refusal, if still the granter."""
     current_ms = granter_state_module.now_ms(granter_state)
-    await granter_state_module.resolve_write_conflict(granter_state, current_ms)
+    await record_writer.resolve_write_conflict(granter_state, current_ms)
     if not granter_state.stopped:
         key_range.release_fence = ownership_module.allocate_fence(
             granter_state.ownership
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -61,6 +61,7 @@
             request.body,
             type=peer_link.TakeoverMessage,
         )
+        gateway.predecessor_term = message.term
         gateway.predecessor_hold_ms = message.hold_ms
         gateway.takeover_requested.set()
         state_cache_module.notify_change(gateway.state_cache)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,17 +1,40 @@
 """Check what a granter may conclude from the message of an earlier one."""
 
+import asyncio
 import unittest
 
 import loguru
+import msgspec
+from tornado import httputil
 
 from lentilgauge.contracts import grant_timing, ownership
+from lentilgauge.links import http_server, peer_link
 from lentilgauge.services import key_ranges
 from lentilgauge.vms import granter_state
 from tests import (
     gateway_fixtures,
+    granting_model,
+    test_granting_model,
+    virtual_time,
 )
 
 
+async def deliver_takeover_request(
+    model: granting_model.Model, vm: str, message: peer_link.TakeoverMessage
+) -> None:
+    """Deliver a request to take over, as sent by a stopped granter."""
+    await http_server.make_response(
+        model.vm_by_name[vm].routes,
+        http_server.Request(
+            method='POST',
+            path=peer_link.TAKEOVER_PATH,
+            text_by_parameter={},
+            headers=httputil.HTTPHeaders(),
+            body=msgspec.json.encode(message),
+        ),
+    )
+
+
 class SuccessionTest(unittest.TestCase):
     """A successor waits for every grant that may still last."""
 
@@ -19,6 +42,30 @@
         """Suppress log lines."""
         loguru.logger.remove()
 
+    def test_a_late_takeover_request_hides_no_later_granter(self) -> None:
+        """Guard against a request of a granter that was replaced since."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def request_late() -> None:
+            await test_granting_model.start_all_vms(model)
+            granter = test_granting_model.pick_granter(model)
+            term = model.vm_by_name[granter].gateway.state_cache.ownership.term
+            isolation = asyncio.ensure_future(
+                test_granting_model.isolate_granter(model)
+            )
+            await asyncio.sleep(4.01)
+            for vm in model.vm_names:
+                if vm != granter:
+                    message = peer_link.TakeoverMessage(
+                        term=term - 1, hold_ms=1
+                    )
+                    await deliver_takeover_request(model, vm, message)
+            await isolation
+
+        virtual_time.run_and_close(loop, request_late())
+        self.assertEqual(model.violations, [])
+
     def test_a_handover_counts_the_holds_of_previous_holders(self) -> None:
         """Guard against a successor that grants keys still held elsewhere."""
         clock = gateway_fixtures.Clock()
