Retry at the same upstream on a new connection

Callers were told "not run, try again" for requests that an upstream had run or was running, or such a request ran at a second upstream as well.

A request that is refused and tried again keeps its id. For a keyed service the retry goes to the same upstream, and so to the same kept connection. A refusal that the upstream writes once more there has the right id and was taken for the answer to the retry, whether it arrived after the retry was sent or lay on the idle connection before: curl reuses such a connection.

An attempt at an address that the request was sent to before now asks for a new connection. A duplicate can arrive only on the connection on which the first copy came, and every later attempt at the address uses one of its own.

tests.test_repeated_refusals forwards through the real adapter to a raw stand-in on loopback. On the code before, 6 of its cases failed, with 503 and 421 alike: a duplicate before the retry and one after it ended as `UPSTREAM_REFUSED`, "no upstream accepted the request", and with a third attempt allowed the request ran twice (['r1', 'r1'] != ['r1']). A refusal written twice at once was no fault before: curl closes that connection. All pass now.

The older entry path needs no change: each of its attempts has its own id, and what isn't idempotent uses a new connection always.

The price is one new connection for each retry at the same address; it isn't measured.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -123,18 +123,9 @@
     request.attempts += 1
     sent_ms = gateway.now_ms()
     load = upstream_load.get_load(gateway.upstream_loads, upstream.id)
+    attempt = _make_attempt(request, upstream, request.deadline_ms - sent_ms)
     try:
-        outcome = await gateway.upstreams.send_attempt(
-            upstream_link.Attempt(
-                upstream=upstream,
-                request_id=request.id,
-                method=request.method,
-                target=request.target,
-                headers=request.headers,
-                body=request.body,
-                remaining_ms=max(request.deadline_ms - sent_ms, 1),
-            ),
-        )
+        outcome = await gateway.upstreams.send_attempt(attempt)
     finally:
         load.in_flight -= 1
         admission_queues.admit_waiters(gateway, request.service)
@@ -144,6 +135,26 @@
     return outcome
 
 
+def _make_attempt(
+    request: gateway_request.Request,
+    upstream: upstream_state.Upstream,
+    remaining_ms: int,
+) -> upstream_link.Attempt:
+    """Make an attempt, on a new connection if the address had one before."""
+    is_repeated = upstream.address in request.attempted_addresses
+    request.attempted_addresses.add(upstream.address)
+    return upstream_link.Attempt(
+        upstream=upstream,
+        request_id=request.id,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        remaining_ms=max(remaining_ms, 1),
+        new_connection=is_repeated,
+    )
+
+
 def _record_outcome(
     gateway: gateway_module.Gateway,
     request: gateway_request.Request,
--- a/src/lentilgauge/callers/gateway_request.py
+++ b/src/lentilgauge/callers/gateway_request.py
@@ -17,7 +17,7 @@
     `estimated_queue` is the number of requests it was estimated to have then,
     and `load_report_age_ms` the age of the load report behind the estimate.
     `excluded_upstream_ids` are the ids of upstreams that get no further
-    attempt.
+    attempt, and `attempted_addresses` the addresses that it was sent to.
     """
 
     id: str
@@ -37,6 +37,7 @@
     load_report_age_ms: int | None = None
     may_have_run: bool = False
     excluded_upstream_ids: set[str] = dataclasses.field(default_factory=set)
+    attempted_addresses: set[str] = dataclasses.field(default_factory=set)
 
 
 def make_log_fields(request: Request, now_ms: int) -> dict[str, object]:
--- a/src/lentilgauge/links/upstream_link.py
+++ b/src/lentilgauge/links/upstream_link.py
@@ -44,7 +44,9 @@
 class Attempt:
     """One attempt to execute a caller's request on an upstream.
 
-    `remaining_ms` is the time that remains until the request's deadline.
+    `remaining_ms` is the time that remains until the request's deadline. With
+    `new_connection` no pooled connection is used: on one, a duplicate of the
+    answer to an earlier attempt could arrive, with the id of the same request.
     """
 
     upstream: upstream_state.Upstream
@@ -54,6 +56,7 @@
     headers: httputil.HTTPHeaders
     body: bytes
     remaining_ms: int
+    new_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lentilgauge/platform/upstream_adapter.py
+++ b/src/lentilgauge/platform/upstream_adapter.py
@@ -78,6 +78,7 @@
             body=attempt.body if has_body else None,
             headers=request_headers,
             send_once=True,
+            new_connection=attempt.new_connection,
             expected_reply_header=(headers.REQUEST_ID, attempt.request_id),
         ),
     )
