Answer with an upstream's error if its retry was refused

Callers of an idempotent request were told "not run, try again" though an upstream had run it and answered with a 5xx: the gateway tried again, the retry was refused, moved or not sent, and only this last outcome decided the answer.

The outcome that decides is now the last one, unless only an earlier attempt is known to have run; then the caller gets that attempt's answer, the upstream's own. This holds too where the retry got no answer (502 and 504 before): these promised nothing wrong, but dropped an answer that was there. The two functions that decide on a retry are one now, with the same rules.

On the code before, both tests failed, with all five outcomes of the retry: a Failure ("no upstream accepted the request" or "may have run") where the upstream's 500 was expected. They pass now.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -65,17 +65,31 @@
 ) -> ForwardResult:
     """Attempt a request until it runs, can't be retried or runs out of time."""
     _count_request(gateway, request)
-    outcome = None
-    while True:
-        upstream = await upstream_choice.acquire_upstream(gateway, request)
-        if upstream is None:
-            return _make_final_result(gateway, request, outcome)
+    decisive_outcome = None
+    upstream = await upstream_choice.acquire_upstream(gateway, request)
+    while upstream is not None:
         outcome = await _attempt(gateway, request, upstream)
-        if outcome.proof is upstream_link.Proof.EXECUTED:
-            if not _try_retry_after_error(gateway, request, outcome):
-                return result.Success(outcome)
-        elif not _may_repeat(gateway, request, outcome):
-            return _make_final_result(gateway, request, outcome)
+        decisive_outcome = _choose_decisive(decisive_outcome, outcome)
+        if not _may_repeat(gateway, request, outcome):
+            break
+        upstream = await upstream_choice.acquire_upstream(gateway, request)
+    return _make_final_result(gateway, request, decisive_outcome)
+
+
+def _choose_decisive(
+    earlier_outcome: upstream_link.Outcome | None,
+    outcome: upstream_link.Outcome,
+) -> upstream_link.Outcome:
+    """Return the outcome that decides the answer, if no attempt follows.
+
+    It is the last, unless only an earlier attempt is known to have run.
+    """
+    if earlier_outcome is None:
+        return outcome
+    executed = upstream_link.Proof.EXECUTED
+    if outcome.proof is not executed and earlier_outcome.proof is executed:
+        return earlier_outcome
+    return outcome
 
 
 def _count_request(
@@ -229,37 +243,26 @@
         upstream_load.record_response(load, suspect_until_ms)
 
 
-def _try_retry_after_error(
-    gateway: gateway_module.Gateway,
-    request: gateway_request.Request,
-    outcome: upstream_link.Outcome,
-) -> bool:
-    """Withdraw a retry from the budget after a retryable server error.
-
-    Only idempotent requests are retried. Return whether one was withdrawn.
-    """
-    if outcome.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
-        return False
-    if not request.route.idempotent:
-        return False
-    return _try_take_retry(gateway, request)
-
-
 def _may_repeat(
     gateway: gateway_module.Gateway,
     request: gateway_request.Request,
     outcome: upstream_link.Outcome,
 ) -> bool:
-    """Withdraw a retry from the budget if another attempt is safe.
+    """Withdraw a retry from the budget if another attempt is safe and useful.
 
-    Return whether one was withdrawn. After an unknown outcome another attempt
-    is safe for idempotent requests only, as it may run the request twice.
+    Return whether one was withdrawn. After a server error or an unknown outcome
+    another attempt is safe for idempotent requests only, as it may run the
+    request twice.
     """
+    executed = outcome.proof is upstream_link.Proof.EXECUTED
+    if executed and outcome.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return False
     unknown_proofs = {
         upstream_link.Proof.UNKNOWN,
         upstream_link.Proof.TIMED_OUT,
     }
-    if outcome.proof in unknown_proofs and not request.route.idempotent:
+    may_have_run = executed or outcome.proof in unknown_proofs
+    if may_have_run and not request.route.idempotent:
         return False
     return _try_take_retry(gateway, request)
 
@@ -282,7 +285,7 @@
     request: gateway_request.Request,
     outcome: upstream_link.Outcome | None,
 ) -> ForwardResult:
-    """Make the final answer or failure from the last attempt's outcome."""
+    """Make the final answer or failure from the decisive outcome."""
     if outcome is None:
         return _refuse_unsent(gateway, request)
     if outcome.proof is upstream_link.Proof.EXECUTED:
