Tell an entry's callers if an earlier attempt may have run

Callers of an entry were told "not run, try again" for an idempotent request whose first attempt got no valid answer, so that it may have run, and whose retry was refused or could not be sent in time: the last outcome alone decided the answer.

The last outcome still decides, unless it proves "not run" for its own attempt while an earlier one may have run; then the error is that of the earlier attempt (502 or 504, "unknown").

Both tests of tests.test_entry_refusals failed on the code before with "ExecutionClaim.NOT_RUN is not ExecutionClaim.UNKNOWN": a retry that was refused, and an upstream that stayed suspended until the deadline. They pass now.

--- a/src/lentilgauge/callers/dispatch.py
+++ b/src/lentilgauge/callers/dispatch.py
@@ -44,22 +44,23 @@
 ) -> ServeResult:
     """Attempt a request until it runs, can't be retried or its deadline passes.
 
-    After the deadline the error is that of the last failed attempt, or of
-    `_DEADLINE_PASSED_OUTCOME` if there was none.
+    The error is that of the last failed attempt, or of
+    `_DEADLINE_PASSED_OUTCOME` if there was none. If only an earlier attempt may
+    have run, the error is that of this attempt.
     """
     retries.deposit(entry.retry_budget_by_service[request.kind.service])
-    outcome: upstream_data.Outcome = _DEADLINE_PASSED_OUTCOME
+    decisive_outcome: upstream_data.Outcome = _DEADLINE_PASSED_OUTCOME
     while entry.now_ms() < request.deadline_ms:
-        attempt_outcome = await _attempt_or_wait(entry, request)
-        if attempt_outcome is _DEADLINE_PASSED_OUTCOME:
+        outcome = await _attempt_or_wait(entry, request)
+        if outcome is _DEADLINE_PASSED_OUTCOME:
             break
-        outcome = attempt_outcome
+        decisive_outcome = retries.choose_decisive(decisive_outcome, outcome)
         if not _may_retry(entry, request, outcome):
             break
         await _wait_before_retry(entry, request, outcome)
-    if isinstance(outcome, upstream_data.Executed):
-        return result.Success(outcome)
-    return result.Failure(retries.describe_failure(outcome))
+    if isinstance(decisive_outcome, upstream_data.Executed):
+        return result.Success(decisive_outcome)
+    return result.Failure(retries.describe_failure(decisive_outcome))
 
 
 async def _attempt_or_wait(
--- a/src/lentilgauge/callers/retries.py
+++ b/src/lentilgauge/callers/retries.py
@@ -76,8 +76,22 @@
     return execution_status is ExecutionStatus.UNKNOWN and idempotent
 
 
+def choose_decisive(
+    earlier_outcome: upstream_data.Outcome, outcome: upstream_data.Outcome
+) -> upstream_data.Outcome:
+    """Return the outcome that decides the answer, if no attempt follows.
+
+    It is the last, unless only an earlier attempt may have run.
+    """
+    if classify_outcome(outcome) is not ExecutionStatus.NOT_RUN:
+        return outcome
+    if classify_outcome(earlier_outcome) is ExecutionStatus.NOT_RUN:
+        return outcome
+    return earlier_outcome
+
+
 def describe_failure(outcome: upstream_data.Outcome) -> errors.Failure:
-    """Convert the last outcome of a failed request into the caller's error."""
+    """Convert a failed request's decisive outcome into the caller's error."""
     if isinstance(outcome, upstream_data.NotSent):
         return outcome.failure
     if isinstance(outcome, upstream_data.Unanswered):
