Return the permit of a request that is cancelled once admitted

A task that waited for a permit of an upstream's limiter and was cancelled in the same turn of the loop in which it was admitted kept the permit for good on Python 3.12 and 3.13 (a trial: in_flight 1 with nothing in flight, 0 now). On 3.11, which we run, `asyncio.wait_for` dropped the cancellation instead: the request went on to the upstream, although nobody waited for it any more.

The limiter now waits with `asyncio.wait`, which drops no cancellation, and gives the permit back, or to the next request, before the cancellation goes on. Nothing in the entry cancels such a task at present, so no caller is known to have met this.

On the code before, the three tests of the limiter in tests.test_permits failed on 3.11 with "CancelledError not raised". They pass now. The fourth test holds the same for a gateway's admission; it passed before, as `acquire_upstream` already returns what was reserved.

--- a/src/lentilgauge/upstreams/concurrency_limiter.py
+++ b/src/lentilgauge/upstreams/concurrency_limiter.py
@@ -78,7 +78,7 @@
     """Wait for a permit; return whether one was taken before the deadline.
 
     A request that would wait beyond its deadline, by the estimate, is refused
-    at once.
+    at once. A request that is cancelled keeps no permit.
     """
     if try_acquire_permit(concurrency_limiter):
         return True
@@ -93,14 +93,21 @@
     )
     heapq.heappush(concurrency_limiter.waiters, waiter)
     try:
-        return await asyncio.wait_for(
-            waiter.admission_future,
-            clock.to_seconds(deadline_ms - now_ms),
+        # Unlike `asyncio.wait_for`, this never drops the task's cancellation.
+        await asyncio.wait(
+            (waiter.admission_future,),
+            timeout=clock.to_seconds(deadline_ms - now_ms),
         )
-    except TimeoutError:
-        # The timeout cancelled the waiter's future, so `release_permit` skips
-        # this waiter.
-        return False
+    except asyncio.CancelledError:
+        if not _withdraw_waiter(waiter):
+            release_permit(concurrency_limiter)
+        raise
+    return not _withdraw_waiter(waiter)
+
+
+def _withdraw_waiter(waiter: Waiter) -> bool:
+    """Let `release_permit` skip a waiter; return false if it has a permit."""
+    return waiter.admission_future.cancel()
 
 
 def release_permit(concurrency_limiter: ConcurrencyLimiter) -> None:
