--- a/tests/faulty_upstream.py
+++ b/tests/faulty_upstream.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import enum
+from collections.abc import Mapping
 
 from tornado import httputil
 
@@ -12,6 +14,14 @@
 _HEAD_END = b'\r\n\r\n'
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeaderNames:
+    """Names of an upstream's headers; by default those of the platform."""
+
+    request_id: str = headers.REQUEST_ID
+    not_executed: str = headers.NOT_EXECUTED
+
+
 class Repetition(enum.Enum):
     """When an upstream writes its refusal once more, on its connection."""
 
@@ -21,22 +31,22 @@
     AFTER_RETRY = enum.auto()
 
 
-def _encode_answer(status_line: str, **text_by_header: str) -> bytes:
-    """Encode an answer; headers are given by the names of their constants."""
+def _encode_answer(
+    status_line: str, text_by_header: Mapping[str, str]
+) -> bytes:
     lines = [f'HTTP/1.1 {status_line}', 'Content-Length: 0']
-    lines.extend(
-        f'{getattr(headers, name)}: {text}'
-        for name, text in text_by_header.items()
-    )
+    lines.extend(f'{name}: {text}' for name, text in text_by_header.items())
     return (_CRLF.join(lines) + _CRLF * 2).encode()
 
 
-async def _read_request(reader: asyncio.StreamReader) -> str:
-    """Read a request up to the end of its body; return its id."""
+async def _read_request(
+    reader: asyncio.StreamReader,
+) -> httputil.HTTPHeaders:
+    """Read a request up to the end of its body; return its headers."""
     head = await reader.readuntil(_HEAD_END)
     fields = httputil.HTTPHeaders.parse(head.decode().partition(_CRLF)[2])
     await reader.readexactly(int(fields.get('Content-Length', '0')))
-    return fields[headers.REQUEST_ID]
+    return fields
 
 
 class FaultyUpstream:
@@ -46,8 +56,14 @@
     the ids of the executed requests.
     """
 
-    def __init__(self, status_line: str, repetition: Repetition) -> None:
+    def __init__(
+        self,
+        status_line: str,
+        repetition: Repetition,
+        header_names: HeaderNames | None = None,
+    ) -> None:
         """Refuse with a status line such as `421 Misdirected Request`."""
+        self.header_names = header_names or HeaderNames()
         self.status_line = status_line
         self.repetition = repetition
         self.executed_ids: list[str] = []
@@ -83,15 +99,16 @@
         self._writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
-                self._answer(await _read_request(reader), writer)
+                fields = await _read_request(reader)
+                self._answer(fields[self.header_names.request_id], writer)
         writer.close()
 
     def _answer(self, request_id: str, writer: asyncio.StreamWriter) -> None:
+        text_by_header = {self.header_names.request_id: request_id}
         if self._refusal_writer is None:
             self._refusal_writer = writer
-            self._refusal = _encode_answer(
-                self.status_line, REQUEST_ID=request_id, NOT_EXECUTED='1'
-            )
+            text_by_header[self.header_names.not_executed] = '1'
+            self._refusal = _encode_answer(self.status_line, text_by_header)
             copies = 1 + (self.repetition is Repetition.WITH_REFUSAL)
             writer.write(self._refusal * copies)
             return
@@ -99,4 +116,5 @@
         if self.repetition is Repetition.AFTER_RETRY:
             self.repetition = Repetition.NEVER
             self.repeat_refusal()
-        writer.write(_encode_answer('200 OK', REQUEST_ID=request_id, SEAL='s'))
+        text_by_header[headers.SEAL] = 's'
+        writer.write(_encode_answer('200 OK', text_by_header))
