Take a reply whose head is cut for no reply

Seen by callers: when a connection closed within a reply's head, the client returned a success with the status seen so far and an empty body. A cut 503 with "not executed" counted as a refusal, so that a request that may have run was said not to have, a cut 200 with a seal as an execution, and a cut 409 of the store as a conflict. Trailers were added to the headers, and one that began like a status line replaced them.

Cause: curl ends a transfer without an error when the connection closes within a head, and whoever read its end trusted that. Each header line was collected, whether of a head or a trailer.

Now a reply has a status only once the blank line of its final head has arrived; without it the call fails as BROKEN, which means that it was sent. Lines after that blank line are trailers and ignored, and a status line is one only at the start of a head.

--- a/src/lentilgauge/links/curl_transfers.py
+++ b/src/lentilgauge/links/curl_transfers.py
@@ -26,7 +26,8 @@
 class TransferEnd:
     """End of a transfer: curl's error code and the HTTP status.
 
-    Code 0 means that the reply is complete, whatever its HTTP status.
+    Code 0 means that the body is complete, whatever the HTTP status; the head
+    may be cut.
     """
 
     code: int
--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import http
+import re
 from collections.abc import Awaitable, Callable
 
 import pycurl
@@ -18,6 +19,9 @@
 DEFAULT_MAX_IDLE_S = 4
 #: Headers that curl adds by default.
 _CURL_DEFAULT_HEADERS = ('User-Agent', 'Accept', 'Content-Type', 'Expect')
+_STATUS_LINE = re.compile(rb'HTTP/\S+\s(\d{3})')
+#: What ends a head, whole.
+_BLANK_LINES = frozenset((b'\r\n', b'\n'))
 #: Returned by curl's header callback to abort the transfer.
 _ABORT_TRANSFER = 0
 #: curl errors for a reply that isn't HTTP, whose body length differs from the
@@ -114,9 +118,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PartialReply:
-    """Reply received so far, and how often the call was sent."""
+    """Reply received so far, and how often the call was sent.
+
+    `head_status` is the status of the head being read, 0 between heads, and
+    `final_status` that of the final head, 0 until its blank line has arrived.
+    """
 
     send_count: int = 0
+    head_status: int = 0
+    final_status: int = 0
     header_lines: list[bytes] = dataclasses.field(default_factory=list)
     body_chunks: list[bytes] = dataclasses.field(default_factory=list)
 
@@ -143,6 +153,32 @@
     return allow_send
 
 
+def _start_head(partial_reply: PartialReply, line: bytes) -> int | None:
+    """Start a head; drop the headers of a preceding interim (1xx) one."""
+    status_match = _STATUS_LINE.match(line)
+    if status_match is None:
+        return _ABORT_TRANSFER
+    partial_reply.header_lines.clear()
+    partial_reply.head_status = int(status_match[1])
+    return None
+
+
+def _end_head(partial_reply: PartialReply) -> None:
+    if partial_reply.head_status >= http.HTTPStatus.OK:
+        partial_reply.final_status = partial_reply.head_status
+    partial_reply.head_status = 0
+
+
+def _is_mismatched(line: bytes, expected_header: tuple[str, str]) -> bool:
+    """Check whether a header line has the expected name and another value."""
+    expected_name, expected_value = expected_header
+    name, _, received_value = line.partition(b':')
+    return (
+        name.lower() == expected_name.lower().encode()
+        and received_value.strip() != expected_value.encode()
+    )
+
+
 def _make_header_callback(
     partial_reply: PartialReply,
     expected_reply_header: tuple[str, str] | None,
@@ -152,20 +188,21 @@
     It aborts the transfer at a reply to another call, so that curl closes the
     connection: later replies on it would be mismatched as well.
     """
-    expected_name, expected_value = expected_reply_header or ('', '')
-    line_prefix = f'{expected_name}:'.lower().encode()
 
     def collect_line(line: bytes) -> int | None:
-        if line.startswith(b'HTTP/'):
-            # Drop the headers of a preceding interim (1xx) reply.
-            partial_reply.header_lines.clear()
+        if partial_reply.final_status:
+            # A trailer is no header.
+            return None
+        if not partial_reply.head_status:
+            return _start_head(partial_reply, line)
+        if line in _BLANK_LINES:
+            _end_head(partial_reply)
             return None
-        if expected_name and line.lower().startswith(line_prefix):
-            received_value = line.partition(b':')[2].strip()
-            if received_value != expected_value.encode():
-                return _ABORT_TRANSFER
-        if line.strip():
-            partial_reply.header_lines.append(line)
+        if expected_reply_header and _is_mismatched(
+            line, expected_reply_header
+        ):
+            return _ABORT_TRANSFER
+        partial_reply.header_lines.append(line)
         return None
 
     return collect_line
@@ -278,6 +315,9 @@
         return result.Failure(
             classify_failure(transfer_end.code, partial_reply.send_count),
         )
+    if partial_reply.final_status != transfer_end.status:
+        # curl takes a connection that closes within a head for its end.
+        return result.Failure(LinkFailure.BROKEN)
     return result.Success(
         Reply(
             status=transfer_end.status,
