Bound the memory that replies without end may take

Seen by callers: a peer that never ends a reply's body filled the process at the speed of the connection until the call's deadline; on VMs of 300 MB that ends the process and every request in it. A body in chunks of 2 bytes took some 60 times its size.

Cause: each piece of a body was kept in a list, whatever there was already.

tests/test_reply_framing on the code before: 6 failures in 4 of the 6 new tests. Bodies of 64 MiB, with a length, without and chunked, peaked at 67, 135 and 135 MB (32 MiB allowed) and ended as broken, 200 and broken; a body of 256 KiB in tiny chunks took 16.5 MB (2 MiB allowed); 13 MiB, and 12 MiB beside two stuck replies, were accepted. The test of endless heads, interim heads, chunk extensions and trailers passed before, as curl bounds these or drops them; so did that of room that returns, which guards the new count.

Now one reply may buffer 12 MiB and all running replies of a client 32 MiB. A reply may also take no more than it leaves free, so that large ones fail first and usual ones still fit beside stuck ones. Beyond it the transfer is aborted, which closes the connection, frees the buffer and fails the call as INVALID. One growing buffer replaces the list.

--- a/src/lentilgauge/links/curl_transfers.py
+++ b/src/lentilgauge/links/curl_transfers.py
@@ -38,7 +38,8 @@
 class TransferDriver:
     """Running transfers, idle handles and their links to the event loop.
 
-    `watched_descriptors` are the sockets registered with the event loop.
+    `watched_descriptors` are the sockets registered with the event loop, and
+    `buffered_bytes` is the size of the bodies that running transfers buffer.
     """
 
     multi: pycurl.CurlMulti
@@ -48,6 +49,7 @@
     idle_handles: list[pycurl.Curl] = dataclasses.field(default_factory=list)
     watched_descriptors: set[int] = dataclasses.field(default_factory=set)
     timer: asyncio.TimerHandle | None = None
+    buffered_bytes: int = 0
 
 
 def make_driver() -> TransferDriver:
--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import http
+import io
 import re
 from collections.abc import Awaitable, Callable
 
@@ -19,13 +20,18 @@
 DEFAULT_MAX_IDLE_S = 4
 #: Headers that curl adds by default.
 _CURL_DEFAULT_HEADERS = ('User-Agent', 'Accept', 'Content-Type', 'Expect')
+#: Bytes of one reply's body; the largest usual ones have about 1 MB.
+MAX_REPLY_BYTES = 12_582_912
+#: Bytes of the bodies of all replies that a client is receiving; VMs have 200
+#: to 300 MB.
+MAX_BUFFERED_BYTES = 33_554_432
 _STATUS_LINE = re.compile(rb'HTTP/\S+\s(\d{3})')
 #: What ends a head, whole.
 _BLANK_LINES = frozenset((b'\r\n', b'\n'))
-#: Returned by curl's header callback to abort the transfer.
+#: Returned by curl's callbacks to abort the transfer.
 _ABORT_TRANSFER = 0
 #: curl errors for a reply that isn't HTTP, whose body length differs from the
-#: announced one, or that belongs to another call.
+#: announced one, that takes too much memory, or that belongs to another call.
 _INVALID_REPLY_CODES = frozenset(
     (
         pycurl.E_UNSUPPORTED_PROTOCOL,
@@ -128,7 +134,7 @@
     head_status: int = 0
     final_status: int = 0
     header_lines: list[bytes] = dataclasses.field(default_factory=list)
-    body_chunks: list[bytes] = dataclasses.field(default_factory=list)
+    body: io.BytesIO = dataclasses.field(default_factory=io.BytesIO)
 
 
 def _make_send_callback(
@@ -163,15 +169,13 @@
     return None
 
 
-def _end_head(partial_reply: PartialReply) -> None:
-    if partial_reply.head_status >= http.HTTPStatus.OK:
-        partial_reply.final_status = partial_reply.head_status
-    partial_reply.head_status = 0
-
-
-def _is_mismatched(line: bytes, expected_header: tuple[str, str]) -> bool:
+def _is_mismatched(
+    line: bytes, expected_reply_header: tuple[str, str] | None
+) -> bool:
     """Check whether a header line has the expected name and another value."""
-    expected_name, expected_value = expected_header
+    if expected_reply_header is None:
+        return False
+    expected_name, expected_value = expected_reply_header
     name, _, received_value = line.partition(b':')
     return (
         name.lower() == expected_name.lower().encode()
@@ -196,11 +200,11 @@
         if not partial_reply.head_status:
             return _start_head(partial_reply, line)
         if line in _BLANK_LINES:
-            _end_head(partial_reply)
+            if partial_reply.head_status >= http.HTTPStatus.OK:
+                partial_reply.final_status = partial_reply.head_status
+            partial_reply.head_status = 0
             return None
-        if expected_reply_header and _is_mismatched(
-            line, expected_reply_header
-        ):
+        if _is_mismatched(line, expected_reply_header):
             return _ABORT_TRANSFER
         partial_reply.header_lines.append(line)
         return None
@@ -208,6 +212,26 @@
     return collect_line
 
 
+def _make_body_callback(
+    partial_reply: PartialReply, driver: curl_transfers.TransferDriver
+) -> Callable[[bytes], int]:
+    """Make the callback that buffers the body, or aborts the transfer.
+
+    A reply may take no more than it leaves to the client's other replies, so
+    that the large ones fail and small ones don't.
+    """
+
+    def buffer_chunk(chunk: bytes) -> int:
+        reply_bytes = partial_reply.body.tell() + len(chunk)
+        free_bytes = MAX_BUFFERED_BYTES - driver.buffered_bytes - len(chunk)
+        if reply_bytes > min(MAX_REPLY_BYTES, free_bytes):
+            return _ABORT_TRANSFER
+        driver.buffered_bytes += len(chunk)
+        return partial_reply.body.write(chunk)
+
+    return buffer_chunk
+
+
 def _list_header_lines(call: Call) -> list[str]:
     """List the call's header lines, without the headers that curl adds.
 
@@ -252,6 +276,7 @@
 def _make_setup(
     call: Call,
     partial_reply: PartialReply,
+    driver: curl_transfers.TransferDriver,
 ) -> curl_transfers.HandleSetup:
     """Make the function that configures a curl handle for one call."""
 
@@ -266,7 +291,10 @@
             pycurl.HEADERFUNCTION,
             _make_header_callback(partial_reply, call.expected_reply_header),
         )
-        curl.setopt(pycurl.WRITEFUNCTION, partial_reply.body_chunks.append)
+        curl.setopt(
+            pycurl.WRITEFUNCTION,
+            _make_body_callback(partial_reply, driver),
+        )
         _set_connection_options(curl, call)
         _set_body(curl, call)
 
@@ -307,10 +335,13 @@
     driver: curl_transfers.TransferDriver, call: Call
 ) -> CallResult:
     partial_reply = PartialReply()
-    transfer_end = await curl_transfers.run_transfer(
-        driver,
-        _make_setup(call, partial_reply),
-    )
+    try:
+        transfer_end = await curl_transfers.run_transfer(
+            driver,
+            _make_setup(call, partial_reply, driver),
+        )
+    finally:
+        driver.buffered_bytes -= partial_reply.body.tell()
     if transfer_end.code:
         return result.Failure(
             classify_failure(transfer_end.code, partial_reply.send_count),
@@ -322,6 +353,6 @@
         Reply(
             status=transfer_end.status,
             headers=_read_headers(partial_reply),
-            body=b''.join(partial_reply.body_chunks),
+            body=partial_reply.body.getvalue(),
         ),
     )
--- a/tests/test_reply_framing.py
+++ b/tests/test_reply_framing.py
@@ -1,9 +1,11 @@
-"""Tests of replies that are cut short, over a real connection."""
+"""Tests of replies that are cut short or endless, over a real connection."""
 
 import asyncio
 import contextlib
 import dataclasses
 import functools
+import itertools
+import tracemalloc
 import unittest
 from collections.abc import Iterable
 
@@ -12,28 +14,30 @@
 
 from lentilgauge.links import http_client, store_link, upstream_link
 from lentilgauge.platform import headers, store_adapter, upstream_adapter
-from tests import gateway_fixtures
+from tests import conditions, gateway_fixtures
 
 _STATUS_LINE = b'HTTP/1.1 200 OK\r\n'
 _HEAD = b'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 10\r\n'
 _CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n'
+_HEAD_WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\n\r\n'
 _INTERIM_HEAD = b'HTTP/1.1 103 Early\r\nLink: x\r\n\r\n'
 _BODY = b'ten bytes.'
 _TIMEOUT_MS = 60_000
+_MEBIBYTE = 1 << 20
+_BLOCK = bytes(1 << 16)
+_BLOCKS_PER_MEBIBYTE = 16
+#: More than may be buffered, but little enough for a client without bounds.
+_ENDLESS_MEBIBYTES = 64
 
 
-async def send_blocks(
-    blocks: Iterable[bytes],
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Answer a bodiless request with blocks of bytes; close the connection."""
-    with contextlib.suppress(ConnectionError):
-        await reader.readuntil(b'\r\n\r\n')
-        for block in blocks:
-            writer.write(block)
-            await writer.drain()
-    writer.close()
+CallTask = asyncio.Task[http_client.CallResult]
+
+
+def name_end(call_result: http_client.CallResult) -> str:
+    """Name a call's failure or status, without the reply's body."""
+    if isinstance(call_result, result.Success):
+        return f'status {call_result.unwrap().status}'
+    return str(call_result.failure())
 
 
 def make_attempt(address: str) -> upstream_link.Attempt:
@@ -58,20 +62,49 @@
     async def asyncSetUp(self) -> None:
         """Create the client."""
         self.client = http_client.make_client()
+        self.open_count = 0
+        self.addAsyncCleanup(self.wait_for_close)
 
-    async def serve(self, blocks: Iterable[bytes]) -> str:
+    async def send_blocks(
+        self,
+        blocks: Iterable[bytes],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        stalls: bool = False,
+    ) -> None:
+        """Answer a bodiless request; close the connection unless it stalls."""
+        self.open_count += 1
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b'\r\n\r\n')
+            for block in blocks:
+                writer.write(block)
+                await writer.drain()
+            if stalls:
+                await reader.read()
+        writer.close()
+        self.open_count -= 1
+
+    async def serve(
+        self, blocks: Iterable[bytes], *, stalls: bool = False
+    ) -> str:
         """Start a server that sends blocks of bytes; return its address."""
         server = await asyncio.start_server(
-            functools.partial(send_blocks, blocks),
+            functools.partial(self.send_blocks, blocks, stalls=stalls),
             '127.0.0.1',
         )
         self.addCleanup(server.close)
         return '127.0.0.1:{1}'.format(*server.sockets[0].getsockname())
 
-    async def fetch(self, *blocks: bytes) -> http_client.CallResult:
+    async def fetch(
+        self, blocks: Iterable[bytes], *, stalls: bool = False
+    ) -> http_client.CallResult:
         """Send a call to which a server answers with blocks of bytes."""
-        address = await self.serve(blocks)
-        return await self.call(address)
+        return await self.call(await self.serve(blocks, stalls=stalls))
+
+    async def wait_for_close(self) -> None:
+        """Wait until the servers have no connection."""
+        await conditions.wait_until(lambda: not self.open_count)
 
     async def call(self, address: str) -> http_client.CallResult:
         """Send a call that must be sent only once."""
@@ -100,10 +133,8 @@
             b'%b\r' % _HEAD,
         ):
             with self.subTest(cut_head):
-                self.assertEqual(
-                    await self.fetch(cut_head),
-                    result.Failure(http_client.LinkFailure.BROKEN),
-                )
+                call_result = await self.fetch((cut_head,))
+                self.assertEqual(name_end(call_result), 'broken')
 
     async def test_a_cut_head_after_an_interim_one_is_no_success(self) -> None:
         for cut_head in (
@@ -114,10 +145,8 @@
             _INTERIM_HEAD + _STATUS_LINE,
         ):
             with self.subTest(cut_head):
-                self.assertEqual(
-                    await self.fetch(cut_head),
-                    result.Failure(http_client.LinkFailure.BROKEN),
-                )
+                call_result = await self.fetch((cut_head,))
+                self.assertEqual(name_end(call_result), 'broken')
 
     async def test_a_whole_head_is_not_taken_for_a_cut_one(self) -> None:
         for whole_reply, body in (
@@ -127,7 +156,7 @@
             (b'%b%b\r\n%b' % (_INTERIM_HEAD, _HEAD, _BODY), _BODY),
         ):
             with self.subTest(whole_reply):
-                reply = (await self.fetch(whole_reply)).unwrap()
+                reply = (await self.fetch((whole_reply,))).unwrap()
                 self.assertEqual((reply.status, reply.body), (200, body))
                 self.assertEqual(reply.headers['A'], 'b')
                 self.assertNotIn('Link', reply.headers)
@@ -141,7 +170,10 @@
             with self.subTest(trailers):
                 reply = (
                     await self.fetch(
-                        b'%b1\r\nx\r\n0\r\n%b\r\n' % (_CHUNKED_HEAD, trailers),
+                        (
+                            b'%b1\r\nx\r\n0\r\n%b\r\n'
+                            % (_CHUNKED_HEAD, trailers),
+                        )
                     )
                 ).unwrap()
                 self.assertEqual((reply.status, reply.body), (200, b'x'))
@@ -177,3 +209,118 @@
                     await store.write_record({}, 0),
                     result.Failure(store_link.Failure.UNKNOWN),
                 )
+
+
+class EndlessReplyTest(FramingTest):
+    """Replies without end, and how much memory they take."""
+
+    async def asyncSetUp(self) -> None:
+        """Trace the memory that is allocated."""
+        await super().asyncSetUp()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    async def fetch_whole(self, mebibytes: int) -> http_client.CallResult:
+        """Send a call that gets a whole reply."""
+        head = b'%bContent-Length: %d\r\n\r\n' % (
+            _STATUS_LINE,
+            mebibytes * _MEBIBYTE,
+        )
+        body = itertools.repeat(_BLOCK, mebibytes * _BLOCKS_PER_MEBIBYTE)
+        return await self.fetch(itertools.chain((head,), body))
+
+    async def start_stuck_call(self) -> CallTask:
+        """Start a call whose reply stops after 7 MiB; wait for 6 of these."""
+        start_bytes, _ = tracemalloc.get_traced_memory()
+        body = itertools.repeat(_BLOCK, 7 * _BLOCKS_PER_MEBIBYTE)
+        call_task = asyncio.create_task(
+            self.fetch(
+                itertools.chain((_HEAD_WITHOUT_LENGTH,), body), stalls=True
+            ),
+        )
+        self.addAsyncCleanup(self.cancel_call, call_task)
+        await conditions.wait_until(
+            lambda: (
+                tracemalloc.get_traced_memory()[0] > start_bytes + 6 * _MEBIBYTE
+                or call_task.done()
+            ),
+        )
+        return call_task
+
+    async def cancel_call(self, call_task: CallTask) -> None:
+        """Cancel a call and wait for its end."""
+        call_task.cancel()
+        await asyncio.wait((call_task,))
+
+    async def test_an_endless_body_is_bounded_freed_and_closed(self) -> None:
+        for head, block in (
+            (b'%bContent-Length: %d\r\n\r\n' % (_STATUS_LINE, 1 << 40), _BLOCK),
+            (_HEAD_WITHOUT_LENGTH, _BLOCK),
+            (_CHUNKED_HEAD, b'10000\r\n%b\r\n' % _BLOCK),
+        ):
+            with self.subTest(head):
+                tracemalloc.reset_peak()
+                body = itertools.repeat(
+                    block,
+                    _ENDLESS_MEBIBYTES * _BLOCKS_PER_MEBIBYTE,
+                )
+                call_result = await self.fetch(itertools.chain((head,), body))
+                kept_bytes, peak_bytes = tracemalloc.get_traced_memory()
+                self.assertLess(peak_bytes, 32 * _MEBIBYTE)
+                self.assertEqual(name_end(call_result), 'invalid')
+                self.assertLess(kept_bytes, 8 * _MEBIBYTE)
+                await self.wait_for_close()
+                self.assertIsNotNone(next(body, None))
+
+    async def test_endless_heads_interims_and_extensions_fail(self) -> None:
+        header_line = b'Name: value\r\n'
+        for start, repeated in (
+            (_STATUS_LINE, header_line * 5000),
+            (b'HTTP/1.1 200 ', b'x' * 65_536),
+            (_STATUS_LINE, b'x' * 65_536),
+            (b'%bA: ' % _STATUS_LINE, b'x' * 65_536),
+            (b'', _INTERIM_HEAD * 2000),
+            (b'%b1;' % _CHUNKED_HEAD, b'x' * 65_536),
+            (b'%b0\r\n' % _CHUNKED_HEAD, header_line * 5000),
+        ):
+            with self.subTest((start, repeated[:20])):
+                tracemalloc.reset_peak()
+                blocks = itertools.repeat(repeated, 1000)
+                call_result = await self.fetch(
+                    itertools.chain((start,), blocks),
+                )
+                self.assertIn(name_end(call_result), {'broken', 'invalid'})
+                kept_bytes, peak_bytes = tracemalloc.get_traced_memory()
+                self.assertLess(peak_bytes, 8 * _MEBIBYTE)
+                self.assertLess(kept_bytes, 4 * _MEBIBYTE)
+
+    async def test_a_body_is_refused_only_beyond_its_bound(self) -> None:
+        ends = [name_end(await self.fetch_whole(size)) for size in (12, 13)]
+        self.assertEqual(ends, ['status 200', 'invalid'])
+
+    async def test_a_body_in_tiny_chunks_takes_no_more_than_others(
+        self,
+    ) -> None:
+        chunks = b'2\r\nab\r\n' * 8192
+        reply = (
+            await self.fetch(
+                (_CHUNKED_HEAD, *itertools.repeat(chunks, 16), b'0\r\n\r\n'),
+            )
+        ).unwrap()
+        self.assertEqual(reply.body, b'ab' * 8192 * 16)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertLess(peak_bytes, 2 * _MEBIBYTE)
+
+    async def test_stuck_replies_leave_room_for_usual_ones_alone(self) -> None:
+        stuck = [await self.start_stuck_call() for _ in range(2)]
+        large = await self.fetch_whole(12)
+        usual = await self.fetch_whole(1)
+        self.assertFalse(any(task.done() for task in stuck))
+        self.assertEqual(name_end(large), 'invalid')
+        self.assertEqual(len(usual.unwrap().body), _MEBIBYTE)
+
+    async def test_room_returns_when_calls_are_cancelled_or_end(self) -> None:
+        for _ in range(4):
+            await self.cancel_call(await self.start_stuck_call())
+            whole = await self.fetch_whole(12)
+            self.assertEqual(name_end(whole), 'status 200')
