--- a/src/lentilgauge/links/curl_transfers.py
+++ b/src/lentilgauge/links/curl_transfers.py
@@ -26,7 +26,8 @@
 class TransferEnd:
     """End of a transfer: curl's error code and the HTTP status.
 
-    Code 0 means that the reply is complete, whatever its HTTP status.
+    Code 0 means that the body is complete, whatever the HTTP status; the head
+    may be cut.
     """
 
     code: int
@@ -37,7 +38,8 @@
 class TransferDriver:
     """Running transfers, idle handles and their links to the event loop.
 
-    `watched_descriptors` are the sockets registered with the event loop.
+    `watched_descriptors` are the sockets registered with the event loop, and
+    `buffered_bytes` is the size of the bodies that running transfers buffer.
     """
 
     multi: pycurl.CurlMulti
@@ -47,6 +49,7 @@
     idle_handles: list[pycurl.Curl] = dataclasses.field(default_factory=list)
     watched_descriptors: set[int] = dataclasses.field(default_factory=set)
     timer: asyncio.TimerHandle | None = None
+    buffered_bytes: int = 0
 
 
 def make_driver() -> TransferDriver:
--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -4,6 +4,8 @@
 import dataclasses
 import enum
 import http
+import io
+import re
 from collections.abc import Awaitable, Callable
 
 import pycurl
@@ -18,10 +20,18 @@
 DEFAULT_MAX_IDLE_S = 4
 #: Headers that curl adds by default.
 _CURL_DEFAULT_HEADERS = ('User-Agent', 'Accept', 'Content-Type', 'Expect')
-#: Returned by curl's header callback to abort the transfer.
+#: Bytes of one reply's body; the largest usual ones have about 1 MB.
+MAX_REPLY_BYTES = 12_582_912
+#: Bytes of the bodies of all replies that a client is receiving; VMs have 200
+#: to 300 MB.
+MAX_BUFFERED_BYTES = 33_554_432
+_STATUS_LINE = re.compile(rb'HTTP/\S+\s(\d{3})')
+#: What ends a head, whole.
+_BLANK_LINES = frozenset((b'\r\n', b'\n'))
+#: Returned by curl's callbacks to abort the transfer.
 _ABORT_TRANSFER = 0
 #: curl errors for a reply that isn't HTTP, whose body length differs from the
-#: announced one, or that belongs to another call.
+#: announced one, that takes too much memory, or that belongs to another call.
 _INVALID_REPLY_CODES = frozenset(
     (
         pycurl.E_UNSUPPORTED_PROTOCOL,
@@ -114,11 +124,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PartialReply:
-    """Reply received so far, and how often the call was sent."""
+    """Reply received so far, and how often the call was sent.
+
+    `head_status` is the status of the head being read, 0 between heads, and
+    `final_status` that of the final head, 0 until its blank line has arrived.
+    """
 
     send_count: int = 0
+    head_status: int = 0
+    final_status: int = 0
     header_lines: list[bytes] = dataclasses.field(default_factory=list)
-    body_chunks: list[bytes] = dataclasses.field(default_factory=list)
+    body: io.BytesIO = dataclasses.field(default_factory=io.BytesIO)
 
 
 def _make_send_callback(
@@ -143,6 +159,30 @@
     return allow_send
 
 
+def _start_head(partial_reply: PartialReply, line: bytes) -> int | None:
+    """Start a head; drop the headers of a preceding interim (1xx) one."""
+    status_match = _STATUS_LINE.match(line)
+    if status_match is None:
+        return _ABORT_TRANSFER
+    partial_reply.header_lines.clear()
+    partial_reply.head_status = int(status_match[1])
+    return None
+
+
+def _is_mismatched(
+    line: bytes, expected_reply_header: tuple[str, str] | None
+) -> bool:
+    """Check whether a header line has the expected name and another value."""
+    if expected_reply_header is None:
+        return False
+    expected_name, expected_value = expected_reply_header
+    name, _, received_value = line.partition(b':')
+    return (
+        name.lower() == expected_name.lower().encode()
+        and received_value.strip() != expected_value.encode()
+    )
+
+
 def _make_header_callback(
     partial_reply: PartialReply,
     expected_reply_header: tuple[str, str] | None,
@@ -152,25 +192,46 @@
     It aborts the transfer at a reply to another call, so that curl closes the
     connection: later replies on it would be mismatched as well.
     """
-    expected_name, expected_value = expected_reply_header or ('', '')
-    line_prefix = f'{expected_name}:'.lower().encode()
 
     def collect_line(line: bytes) -> int | None:
-        if line.startswith(b'HTTP/'):
-            # Drop the headers of a preceding interim (1xx) reply.
-            partial_reply.header_lines.clear()
+        if partial_reply.final_status:
+            # A trailer is no header.
+            return None
+        if not partial_reply.head_status:
+            return _start_head(partial_reply, line)
+        if line in _BLANK_LINES:
+            if partial_reply.head_status >= http.HTTPStatus.OK:
+                partial_reply.final_status = partial_reply.head_status
+            partial_reply.head_status = 0
             return None
-        if expected_name and line.lower().startswith(line_prefix):
-            received_value = line.partition(b':')[2].strip()
-            if received_value != expected_value.encode():
-                return _ABORT_TRANSFER
-        if line.strip():
-            partial_reply.header_lines.append(line)
+        if _is_mismatched(line, expected_reply_header):
+            return _ABORT_TRANSFER
+        partial_reply.header_lines.append(line)
         return None
 
     return collect_line
 
 
+def _make_body_callback(
+    partial_reply: PartialReply, driver: curl_transfers.TransferDriver
+) -> Callable[[bytes], int]:
+    """Make the callback that buffers the body, or aborts the transfer.
+
+    A reply may take no more than it leaves to the client's other replies, so
+    that the large ones fail and small ones don't.
+    """
+
+    def buffer_chunk(chunk: bytes) -> int:
+        reply_bytes = partial_reply.body.tell() + len(chunk)
+        free_bytes = MAX_BUFFERED_BYTES - driver.buffered_bytes - len(chunk)
+        if reply_bytes > min(MAX_REPLY_BYTES, free_bytes):
+            return _ABORT_TRANSFER
+        driver.buffered_bytes += len(chunk)
+        return partial_reply.body.write(chunk)
+
+    return buffer_chunk
+
+
 def _list_header_lines(call: Call) -> list[str]:
     """List the call's header lines, without the headers that curl adds.
 
@@ -215,6 +276,7 @@
 def _make_setup(
     call: Call,
     partial_reply: PartialReply,
+    driver: curl_transfers.TransferDriver,
 ) -> curl_transfers.HandleSetup:
     """Make the function that configures a curl handle for one call."""
 
@@ -229,7 +291,10 @@
             pycurl.HEADERFUNCTION,
             _make_header_callback(partial_reply, call.expected_reply_header),
         )
-        curl.setopt(pycurl.WRITEFUNCTION, partial_reply.body_chunks.append)
+        curl.setopt(
+            pycurl.WRITEFUNCTION,
+            _make_body_callback(partial_reply, driver),
+        )
         _set_connection_options(curl, call)
         _set_body(curl, call)
 
@@ -270,18 +335,24 @@
     driver: curl_transfers.TransferDriver, call: Call
 ) -> CallResult:
     partial_reply = PartialReply()
-    transfer_end = await curl_transfers.run_transfer(
-        driver,
-        _make_setup(call, partial_reply),
-    )
+    try:
+        transfer_end = await curl_transfers.run_transfer(
+            driver,
+            _make_setup(call, partial_reply, driver),
+        )
+    finally:
+        driver.buffered_bytes -= partial_reply.body.tell()
     if transfer_end.code:
         return result.Failure(
             classify_failure(transfer_end.code, partial_reply.send_count),
         )
+    if partial_reply.final_status != transfer_end.status:
+        # curl takes a connection that closes within a head for its end.
+        return result.Failure(LinkFailure.BROKEN)
     return result.Success(
         Reply(
             status=transfer_end.status,
             headers=_read_headers(partial_reply),
-            body=b''.join(partial_reply.body_chunks),
+            body=partial_reply.body.getvalue(),
         ),
     )
