Write a deleted ownership record again

Noticed in the code: a granter passed over a reading without a record. Shown in the model: after the record is deleted each write conflicts, and the keys of an upstream that dies are never granted again. Change: a missing record is logged and written again, as long as no other granter has written one. Evidence: test_a_deleted_record_is_written_again failed before, keys without a holder after 7 s, and passes now, with the same granter. Not covered: the record and the granter are lost together; the next term then starts at 1 with low tokens, which upstreams refuse while they remember higher ones.

--- a/src/lentilgauge/events.py
+++ b/src/lentilgauge/events.py
@@ -39,6 +39,7 @@
     TERM_UNCONFIRMED = 'term_unconfirmed'
     TERM_CONFIRMED = 'term_confirmed'
     TERM_LAPSED = 'term_lapsed'
+    RECORD_MISSING = 'record_missing'
     WATCH_ENDED = 'watch_ended'
     WATCH_BEHIND = 'watch_behind'
     KEYS_ASSIGNED = 'keys_assigned'
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -357,10 +357,9 @@
             _note_term_unconfirmed(granter_state)
             continue
         reading = read_outcome.unwrap()
-        if reading.document is not None:
-            record_writer.check_stored_record(
-                granter_state, reading.document, request_sent_ms
-            )
+        record_writer.check_stored_record(
+            granter_state, reading.document, request_sent_ms
+        )
         await store_watch.reload_missed_topics(granter_state, reading.revision)
 
 
--- a/src/lentilgauge/vms/record_writer.py
+++ b/src/lentilgauge/vms/record_writer.py
@@ -4,7 +4,7 @@
 
 from returns import result
 
-from lentilgauge import clock
+from lentilgauge import clock, events
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import store_link
 from lentilgauge.vms import granter_state as granter_state_module
@@ -107,17 +107,25 @@
     read_outcome = await granter_state.gateway.store.read_record()
     if not isinstance(read_outcome, result.Success):
         return
-    document = read_outcome.unwrap().document
-    if document is not None:
-        check_stored_record(granter_state, document, request_sent_ms)
+    check_stored_record(
+        granter_state, read_outcome.unwrap().document, request_sent_ms
+    )
 
 
 def check_stored_record(
     granter_state: granter_state_module.GranterState,
-    document: store_link.Document,
+    document: store_link.Document | None,
     request_sent_ms: int,
 ) -> None:
-    """Confirm the term by the stored record, or stop this granter."""
+    """Confirm the term by the stored record, or stop this granter.
+
+    A record that was deleted is written again.
+    """
+    if document is None:
+        events.log_event(events.Event.RECORD_MISSING)
+        granter_state.revision = 0
+        granter_state.write_due.set()
+        return
     record = ownership_module.parse_record(document.body)
     if record is None or not _is_current_term(granter_state, record):
         granter_state_module.stop(
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -66,6 +66,24 @@
         virtual_time.run_and_close(loop, request_late())
         self.assertEqual(model.violations, [])
 
+    def test_a_deleted_record_is_written_again(self) -> None:
+        """Guard against a granter whose changes can't be recorded any more."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def delete_record() -> None:
+            await test_granting_model.start_all_vms(model)
+            granters = granting_model.find_granters(model)
+            model.store.document = None
+            await asyncio.sleep(2)
+            model.kill_upstream('u1', listed=False)
+            self.assertTrue(await model.wait_until_all_keys_held(7))
+            self.assertIsNotNone(model.store.document)
+            self.assertEqual(granting_model.find_granters(model), granters)
+
+        virtual_time.run_and_close(loop, delete_record())
+        self.assertEqual(model.violations, [])
+
     def test_a_handover_counts_the_holds_of_previous_holders(self) -> None:
         """Guard against a successor that grants keys still held elsewhere."""
         clock = gateway_fixtures.Clock()
