Leave the ownership unchanged that a delta is applied to

Read in the code, not seen by callers: a delta changed the tables of the ownership that it was given, which the granter's own state may share. Change: the tables are copied, their ranges shared. Evidence: test_a_delta_leaves_the_given_ownership_unchanged failed before; replication, key ranges and the granting model pass.

--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -269,16 +269,19 @@
 ) -> Ownership | None:
     """Return the updated ownership, or `None` if the delta doesn't apply.
 
-    A delta must be newer, and of the same term unless it is a snapshot. Unless
-    it is a snapshot, the given ownership's tables are changed in place.
+    A delta must be newer, and of the same term unless it is a snapshot. The
+    given ownership is left as it was, but shares unchanged ranges.
     """
     if not is_newer(ownership, ownership_delta.term, ownership_delta.serial):
         return None
     if not ownership_delta.whole and ownership_delta.term != ownership.term:
         return None
-    tables = {} if ownership_delta.whole else ownership.table_by_service
+    tables = {} if ownership_delta.whole else dict(ownership.table_by_service)
     for service, rows in ownership_delta.rows_by_service.items():
-        range_table = tables.setdefault(service, key_ranges.RangeTable())
+        range_table = dataclasses.replace(
+            tables.get(service, key_ranges.RangeTable())
+        )
+        tables[service] = range_table
         key_ranges.insert_ranges(
             range_table,
             [_unpack_delta_row(row, ownership_delta.serial) for row in rows],
--- a/tests/test_ownership_replication.py
+++ b/tests/test_ownership_replication.py
@@ -125,6 +125,29 @@
         )
         self.assertIsNone(ownership.apply_delta(current, next_term_delta))
 
+    def test_a_delta_leaves_the_given_ownership_unchanged(self) -> None:
+        """Guard against a change of ownership that another reader holds."""
+        current = ownership.Ownership(term=1, serial=1)
+        current.table_by_service['s'] = key_ranges.make_table(
+            key_ranges.split_key_space(2),
+        )
+        rows = list_routing_rows(current)
+        delta = ownership.OwnershipDelta(
+            term=1,
+            serial=2,
+            granter=ownership.Granter(),
+            whole=False,
+            rows_by_service={
+                's': [
+                    ownership.DeltaRow(
+                        start=5, end=9, holder='u9', served=True
+                    ),
+                ],
+            },
+        )
+        self.assertIsNotNone(ownership.apply_delta(current, delta))
+        self.assertEqual(list_routing_rows(current), rows)
+
     def test_a_record_survives_a_round_trip(self) -> None:
         """Guard against ownership that a new granter can't restore."""
         owned = ownership.Ownership(term=2, serial=5, vms=('a', 'b'))
