Pass on no unproven refusal of an upstream

Read in the code by the reader of the refusal path: a 503, 429 or 408 without the header that proves a request wasn't executed was passed on as an executed answer, and callers take these statuses for 'not run'. Change: such an answer proves nothing; the caller is told that the request may have run, and only idempotent requests are tried again. Evidence: test_a_refusal_without_proof_is_not_passed_on failed before, 'executed', and passes now, with the gateway's tests.

--- a/src/lentilgauge/platform/upstream_adapter.py
+++ b/src/lentilgauge/platform/upstream_adapter.py
@@ -10,6 +10,14 @@
 from lentilgauge.platform import durations, headers
 
 _WRONG_UPSTREAM_STATUS = http.HTTPStatus.MISDIRECTED_REQUEST
+#: Callers take these for a promise that the request wasn't executed.
+_NOT_RUN_STATUSES = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
 #: Methods whose requests are sent with a body even if it is empty.
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 _GRANT_PATH = '/grant'
@@ -127,6 +135,8 @@
         return upstream_link.Proof.MOVED
     if reply.headers.get(headers.NOT_EXECUTED) is not None:
         return upstream_link.Proof.REFUSED
+    if reply.status in _NOT_RUN_STATUSES:
+        return upstream_link.Proof.UNKNOWN
     succeeded = reply.status < http.HTTPStatus.MULTIPLE_CHOICES
     if succeeded and headers.SEAL not in reply.headers:
         return upstream_link.Proof.UNKNOWN
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -223,6 +223,14 @@
         self.assertEqual(self.call.headers[headers.DEADLINE_MS], '70')
         self.assertEqual(self.call.headers[headers.EXPECTED_INSTANCE], 'u0')
 
+    async def test_a_refusal_without_proof_is_not_passed_on(self) -> None:
+        """Guard against "not run" for what an upstream may have executed."""
+        for status in (408, 429, 503):
+            for more_headers in ({}, {'SEAL': 's'}):
+                reply = self.make_reply(status, REQUEST_ID='r1', **more_headers)
+                outcome = await self.send_attempt(reply)
+                self.assertEqual(outcome.proof, 'unknown', status)
+
     async def test_an_order_ignores_answers_to_other_requests(self) -> None:
         """A late second answer to a request must not count as a release.
 
