Ignore takeover requests at a granter and of earlier terms

Cause: a request to take over that reaches the granter stayed set for its whole term; when it lost the term it took over at once from whoever had won it. Change: the request is dropped where it arrives, at a granter or below the known term. Evidence: test_a_granter_ignores_requests_to_take_over failed before and passes now.

--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -61,10 +61,12 @@
             request.body,
             type=peer_link.TakeoverMessage,
         )
-        gateway.predecessor_term = message.term
-        gateway.predecessor_hold_ms = message.hold_ms
-        gateway.takeover_requested.set()
-        state_cache_module.notify_change(gateway.state_cache)
+        known_term = gateway.state_cache.ownership.term
+        if not gateway.is_granter and message.term >= known_term:
+            gateway.predecessor_term = message.term
+            gateway.predecessor_hold_ms = message.hold_ms
+            gateway.takeover_requested.set()
+            state_cache_module.notify_change(gateway.state_cache)
         return _respond(peer_link.StoreAccessMessage(reachable=True))
 
     return {
