Forget unanswered orders when an upstream restarts

Cause: an upstream that had left orders unanswered was excluded by its id until it answered one, but without keys it gets none: a process that started under the same id stayed without keys for the rest of the term. Change: a new incarnation starts with no failures. Evidence: test_silence_before_a_restart_excludes_no_new_process failed before, keys without a holder after 7 s, and passes now. Open: an upstream that was only out of reach, without a restart, is still excluded until a term ends.

--- a/src/lentilgauge/vms/granter_upstreams.py
+++ b/src/lentilgauge/vms/granter_upstreams.py
@@ -9,12 +9,17 @@
 
 
 def update_upstreams(granter_state: granter_state_module.GranterState) -> None:
-    """Take over the announced upstreams, and log addresses used again."""
+    """Adopt the announced upstreams, and log addresses used again.
+
+    Orders that an earlier process left unanswered don't count against the next
+    one with its id.
+    """
     announced_by_id = granter_state.gateway.state_cache.upstream_by_id
     for upstream in announced_by_id.values():
         known = granter_state.upstream_by_id.get(upstream.id)
         if known is None or known.incarnation != upstream.incarnation:
             _log_address_reuse(granter_state, upstream)
+            granter_state.failure_streak_by_upstream.pop(upstream.id, None)
         granter_state.upstream_by_id[upstream.id] = upstream
 
 
--- a/tests/test_restarted_holders.py
+++ b/tests/test_restarted_holders.py
@@ -75,6 +75,26 @@
         virtual_time.run_and_close(loop, restart_and_drain())
         self.assertEqual(model.violations, [])
 
+    def test_silence_before_a_restart_excludes_no_new_process(self) -> None:
+        """Guard against an upstream without keys for the rest of a term."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def restart_late() -> None:
+            await test_granting_model.start_all_vms(model)
+            model.kill_upstream('u1', listed=True)
+            await asyncio.sleep(4)
+            model.start_upstream('u1')
+            for name in model.upstream_by_name:
+                if name not in {'u0', 'u1'}:
+                    model.kill_upstream(name, listed=False)
+            await asyncio.sleep(4)
+            model.kill_upstream('u0', listed=False)
+            self.assertTrue(await model.wait_until_all_keys_held(7))
+
+        virtual_time.run_and_close(loop, restart_late())
+        self.assertEqual(model.violations, [])
+
     def test_a_token_that_renewals_repeat_is_caught(self) -> None:
         """Mutation test: the model sees a token that is sent twice."""
 
