--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -20,8 +20,9 @@
     """One key range in a record, encoded as an array to be compact.
 
     `life` is the holder's incarnation: the start time of its process in Unix
-    milliseconds. `release_fence` and `fence` are the fencing tokens of the
-    release and the grant orders. `earlier` names previous holders that may
+    milliseconds. `fence` is the fencing token of the assignment and
+    `release_fence` that of the releases; grants have higher tokens, which
+    aren't recorded. `earlier` names previous holders that may
     still hold the keys.
     """
 
@@ -117,7 +118,10 @@
 
 
 def allocate_fence(ownership: Ownership) -> int:
-    """Allocate the next fencing token."""
+    """Allocate the next fencing token, of an assignment or a release.
+
+    It may be sent once a record that covers it is stored.
+    """
     ownership.next_fence += 1
     return ownership.next_fence - 1
 
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -216,7 +216,7 @@
 
 
 def take_fence(granter_state: GranterState) -> int | None:
-    """Allocate the fencing token of one grant; `None` if none is left.
+    """Allocate a fencing token to send at once; `None` if none is reserved.
 
     Once half of the reserved tokens are used, the record is written to reserve
     more.
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -282,8 +282,7 @@
             previous_end_ms,
         )
         if key_range.fence != fence or possibly_lost:
-            # Merged with its neighbour under a new token meanwhile, or
-            # granted for a short time only: renew at once.
+            # Assigned anew meanwhile, or granted for a short time only.
             key_range.renewal_due_ms = 0
     elif reply.answer is upstream_link.OrderAnswer.UNREACHABLE:
         grant_timing.restore_end_of_unsent_grant(key_range, previous_end_ms)
--- a/tests/test_restarted_holders.py
+++ b/tests/test_restarted_holders.py
@@ -38,14 +38,14 @@
         """Suppress log lines."""
         loguru.logger.remove()
 
-    def test_a_renewal_repeats_no_token_at_a_new_process_of_one_id(
+    def test_a_renewal_repeats_no_token_at_a_restart_under_the_same_id(
         self,
     ) -> None:
         """Guard against a restart between two renewals of a grant."""
         model = restart_each_holder(new_id=False)
         self.assertEqual(model.violations, [])
 
-    def test_a_renewal_repeats_no_token_at_another_id_of_one_address(
+    def test_a_renewal_repeats_no_token_at_a_restart_under_another_id(
         self,
     ) -> None:
         """Guard against an address that another process listens at."""
