Let the soak's build `refusals` refuse falsely again

Cause: the build replaced forwarding._refuse, which has had four parameters since a refusal carries its delay, by a function of two, so refusals became answers 500; and failures whose outcome is unknown come from _make_failure by now.

--- a/src/lentilgauge/load/weakened.py
+++ b/src/lentilgauge/load/weakened.py
@@ -30,17 +30,22 @@
 
 def _report_lost_as_refused() -> None:
     """Report requests whose outcome is unknown as not executed."""
-    refuse = getattr(forwarding, '_refuse')  # ruff: ignore[get-attr-with-constant]
+    make_failure = getattr(forwarding, '_make_failure')  # ruff: ignore[get-attr-with-constant]
+    uncertain_kinds = {
+        errors.ErrorKind.UPSTREAM_LOST,
+        errors.ErrorKind.UPSTREAM_TIMEOUT,
+    }
 
     def misreport(
         kind: errors.ErrorKind, detail: str
     ) -> forwarding.ForwardResult:
-        lost = kind is errors.ErrorKind.UPSTREAM_LOST
-        reported_kind = errors.ErrorKind.UPSTREAM_REFUSED if lost else kind
-        forward_result: forwarding.ForwardResult = refuse(reported_kind, detail)
+        uncertain = kind in uncertain_kinds
+        forward_result: forwarding.ForwardResult = make_failure(
+            errors.ErrorKind.UPSTREAM_REFUSED if uncertain else kind, detail
+        )
         return forward_result
 
-    _replace(forwarding, '_refuse', misreport)
+    _replace(forwarding, '_make_failure', misreport)
 
 
 def _grant_without_release() -> None:
