Let the soak catch fencing tokens that are repeated

Why the soak missed it: an upstream stayed down for 1 s or more, so that renewals every 0.8 s failed before the next process came, and it came under its old id only; and the checker compared holds between ids, no tokens, and nothing between the lives of one id.

The checker keeps the tokens of every process and reports a grant whose token isn't above those of all other processes (soak_tokens). Grants within 300 ms of a thaw stay exempt; one carried out after its own expiry gives no right and isn't compared. The stand-in no longer carries out a late grant in a process that didn't receive it: that isn't possible over a connection, which ends with its process. New weakened build `tokens`.

Of the new tests, test_a_late_grant_ends_with_its_process failed on the stand-in before.

--- a/src/lentilgauge/load/soak.py
+++ b/src/lentilgauge/load/soak.py
@@ -15,6 +15,7 @@
     soak_callers,
     soak_checker,
     soak_faults,
+    soak_restarts,
 )
 from lentilgauge.standins import (
     fault_proxy,
@@ -256,7 +257,14 @@
         ),
     )
     tasks.append(asyncio.ensure_future(_monitor_gateways(soak_state)))
-    await soak_faults.inject_faults(soak_state, plan.fault_seconds)
+    await asyncio.gather(
+        soak_faults.inject_faults(soak_state, plan.fault_seconds),
+        soak_restarts.restart_holders(
+            soak_state,
+            _make_random(f'{plan.seed}/restarts'),
+            plan.fault_seconds,
+        ),
+    )
     recovery_seconds = (
         _RECOVERY_BOUND_SECONDS
         if plan.checks_time_bounds
--- a/src/lentilgauge/load/soak_checker.py
+++ b/src/lentilgauge/load/soak_checker.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Generator, Mapping
 
+from lentilgauge.load import soak_tokens
 from lentilgauge.standins import (
     gateway_documents,
     gateway_upstream,
@@ -110,6 +111,9 @@
     newest_version_by_process: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
+    tokens_by_process: soak_tokens.TokensByProcess = dataclasses.field(
+        default_factory=dict,
+    )
     event_counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter,
     )
@@ -253,11 +257,23 @@
     upstream_id: str,
     hold: key_holds.Hold,
 ) -> None:
-    """Check that no other upstream still holds any of the keys granted."""
+    """Check the token, and that no other upstream still holds the keys."""
     checker.event_counts['granted'] += 1
     now = time.monotonic()
+    earlier_grants = soak_tokens.record_grant(
+        checker.tokens_by_process,
+        checker.upstream_by_id[upstream_id],
+        hold,
+        now,
+    )
     if now - checker.resumed_at < _RESUME_GRACE_SECONDS:
         return
+    if earlier_grants:
+        record_violation(
+            checker,
+            f'token: {hold.start}-{hold.end} to {upstream_id} with '
+            f'{hold.fence}, after {earlier_grants}',
+        )
     holders = [
         other.name
         for other in checker.upstream_by_id.values()
--- a/src/lentilgauge/load/weakened.py
+++ b/src/lentilgauge/load/weakened.py
@@ -9,7 +9,7 @@
 from lentilgauge.links import http_client, upstream_link
 from lentilgauge.platform import program, upstream_adapter
 from lentilgauge.upstreams import upstream_load, upstream_state
-from lentilgauge.vms import key_orders
+from lentilgauge.vms import granter_state, key_orders
 from lentilgauge.vms import state_cache as state_cache_module
 
 
@@ -101,6 +101,15 @@
     _replace(upstream_adapter, '_find_proof', assume_executed)
 
 
+def _repeat_tokens() -> None:
+    """Send all grants, renewals too, under the last token allocated."""
+
+    def repeat_fence(state: granter_state.GranterState) -> int:
+        return state.ownership.next_fence - 1
+
+    _replace(granter_state, 'take_fence', repeat_fence)
+
+
 WEAKENINGS: Mapping[str, Callable[[], None]] = types.MappingProxyType(
     {
         'repeats': _retry_unsafe_failures,
@@ -110,6 +119,7 @@
         'leaving': _ignore_draining,
         'configuration': _keep_first_configuration,
         'answers': _accept_any_reply,
+        'tokens': _repeat_tokens,
     }
 )
 
--- a/src/lentilgauge/standins/gateway_upstream.py
+++ b/src/lentilgauge/standins/gateway_upstream.py
@@ -53,7 +53,8 @@
     `refuses_requests` refuses requests unexecuted; `loses_answers` executes
     them and closes their connections. `ignores_orders` neither executes nor
     answers orders; `delays_grants` executes grants after a delay and doesn't
-    answer them. `duplicates_answers` sends each answer a second time.
+    answer them; `accepts_any_id` executes orders for other ids. With
+    `duplicates_answers` each answer is sent a second time.
     """
 
     refuses_requests: bool = False
@@ -61,6 +62,7 @@
     duplicates_answers: bool = False
     ignores_orders: bool = False
     delays_grants: bool = False
+    accepts_any_id: bool = False
 
 
 def _parse_order(order: dict[str, object], expires_at: float) -> key_holds.Hold:
@@ -156,7 +158,7 @@
         expected_instance = request.headers.get(headers.EXPECTED_INSTANCE)
         is_misdirected = expected_instance not in {None, self.name}
         if request.path in _ORDER_PATHS:
-            if is_misdirected:
+            if is_misdirected and not self.faults.accepts_any_id:
                 return standin_server.Answer(
                     status=http.HTTPStatus.MISDIRECTED_REQUEST
                 )
@@ -252,7 +254,8 @@
         if self.faults.delays_grants and request.path == _GRANT_PATH:
             asyncio.get_running_loop().call_later(
                 clock.to_seconds(self.execution_ms) + 1,
-                self._accept_grant,
+                self._accept_late_grant,
+                self.hold_table,
                 order,
                 received_at,
             )
@@ -261,6 +264,16 @@
             return self._accept_grant(order, received_at)
         return await self._release_keys(order)
 
+    def _accept_late_grant(
+        self,
+        hold_table: key_holds.HoldTable,
+        order: dict[str, object],
+        received_at: float,
+    ) -> None:
+        """Accept a grant, unless the process that received it has ended."""
+        if hold_table is self.hold_table:
+            self._accept_grant(order, received_at)
+
     def _accept_grant(
         self,
         order: dict[str, object],
--- a/src/lentilgauge/standins/key_holds.py
+++ b/src/lentilgauge/standins/key_holds.py
@@ -50,7 +50,7 @@
 
 def release_keys(hold_table: HoldTable, released: Hold) -> None:
     """Release a key range; holds that reach beyond it keep the other keys."""
-    _record_token(hold_table, released)
+    record_token(hold_table, released)
     remaining: list[Hold] = []
     for hold in hold_table.holds:
         if not overlaps(hold, released):
@@ -63,7 +63,7 @@
     hold_table.holds = remaining
 
 
-def _record_token(hold_table: HoldTable, order: Hold) -> None:
+def record_token(hold_table: HoldTable, order: Hold) -> None:
     """Record an order's token.
 
     It replaces those within its key range that aren't higher.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -95,12 +95,14 @@
             'seal-u0',
         )
 
-    def grant_hold(self, upstream: str, start: int = 0) -> key_holds.Hold:
+    def grant_hold(
+        self, upstream: str, start: int = 0, fence: int = 1
+    ) -> key_holds.Hold:
         """Grant an upstream the keys from `start` to 100 for 60 s."""
         hold = key_holds.Hold(
             start=start,
             end=100,
-            fence=1,
+            fence=fence,
             expires_at=time.monotonic() + 60,
         )
         key_holds.accept_grant(self.upstreams[upstream].hold_table, hold)
@@ -176,6 +178,45 @@
         )
         self.assert_violations('granted twice')
 
+    def check_grant(self, upstream: str, fence: int) -> None:
+        """Grant the keys up to 100 to an upstream and check the grant."""
+        soak_checker.check_grant(
+            self.checker, upstream, self.grant_hold(upstream, fence=fence)
+        )
+
+    async def test_a_token_that_does_not_rise_between_lives(self) -> None:
+        """A token that an earlier process of the id had is reported.
+
+        A renewal to one process may repeat its token.
+        """
+        self.check_grant('u0', 4)
+        self.check_grant('u0', 4)
+        self.assert_violations()
+        self.upstreams['u0'].restart()
+        self.check_grant('u0', 5)
+        self.assert_violations()
+        self.upstreams['u0'].restart()
+        self.check_grant('u0', 5)
+        self.check_grant('u0', 6)
+        self.assert_violations('token')
+
+    async def test_a_token_that_does_not_rise_between_ids(self) -> None:
+        """A token is compared with those of upstreams that have ended, too."""
+        self.check_grant('u0', 4)
+        self.upstreams['u0'].restart()
+        self.check_grant('u1', 4)
+        self.check_grant('u1', 3)
+        self.check_grant('u1', 5)
+        self.assert_violations('token', 'token')
+
+    async def test_an_expired_grant_gives_no_right(self) -> None:
+        """A grant that was carried out after its expiry isn't compared."""
+        self.check_grant('u0', 4)
+        expired_hold = key_holds.Hold(start=0, end=9, fence=4, expires_at=0)
+        self.upstreams['u0'].restart()
+        soak_checker.check_grant(self.checker, 'u1', expired_hold)
+        self.assert_violations()
+
     async def test_excess_requests_for_a_cold_upstream(self) -> None:
         """A load above the allowed cold-start rate is reported."""
         self.upstreams['u0'].cold_until_seconds = math.inf
--- /dev/null
+++ b/tests/test_soak_upstream.py
@@ -0,0 +1,83 @@
+"""Tests of faults that the soak's stand-in upstream shows."""
+
+import asyncio
+import unittest
+
+from returns import result
+from tornado import httputil
+
+from lentilgauge.links import http_client
+from lentilgauge.platform import headers
+from lentilgauge.standins import gateway_upstream
+
+#: Longer than the delay after which a late grant is carried out.
+_LATE_GRANT_SECONDS = 1.2
+
+
+class SoakUpstreamTest(unittest.IsolatedAsyncioTestCase):
+    """A stand-in that lacks a fault can't show that it is coped with."""
+
+    async def asyncSetUp(self) -> None:
+        """Start an upstream."""
+        self.upstream = gateway_upstream.Upstream('u0', sharded=True)
+        self.client = http_client.make_client()
+
+    async def asyncTearDown(self) -> None:
+        """Stop the upstream."""
+        await self.upstream.close()
+
+    async def send(
+        self,
+        path: str,
+        headers_by_name: dict[str, str],
+        body: bytes = b'',
+        timeout_ms: int = 5000,
+    ) -> http_client.Reply | None:
+        """Send a call on a kept connection, if there is one."""
+        call_result = await http_client.send_call(
+            self.client,
+            http_client.Call(
+                method='POST',
+                url=f'http://{self.upstream.address}{path}',
+                timeout_ms=timeout_ms,
+                body=body,
+                headers=httputil.HTTPHeaders(headers_by_name),
+                send_once=True,
+            ),
+        )
+        if isinstance(call_result, result.Success):
+            return call_result.unwrap()
+        return None
+
+    async def send_grant(
+        self, expected_id: str, timeout_ms: int = 5000
+    ) -> http_client.Reply | None:
+        """Send a grant of the keys 1 to 2 for a process of the given id."""
+        return await self.send(
+            '/grant',
+            {headers.EXPECTED_INSTANCE: expected_id},
+            b'{"startKey":1,"target":2,"fence":3,"hold_time":"9000ms"}',
+            timeout_ms,
+        )
+
+    async def test_orders_for_any_id_are_accepted_under_the_fault_only(
+        self,
+    ) -> None:
+        """An order for another id is rejected unless the fault is shown."""
+        statuses = []
+        for accepts_any_id in (False, True):
+            self.upstream.faults.accepts_any_id = accepts_any_id
+            reply = await self.send_grant('other')
+            assert reply is not None
+            statuses.append(reply.status)
+        self.assertEqual(statuses, [421, 200])
+
+    async def test_a_late_grant_ends_with_its_process(self) -> None:
+        """The next process doesn't carry out what another has received."""
+        self.upstream.faults.delays_grants = True
+        for restarts in (False, True):
+            await self.send_grant('u0', timeout_ms=100)
+            if restarts:
+                self.upstream.restart()
+            await asyncio.sleep(_LATE_GRANT_SECONDS)
+            self.assertNotEqual(self.upstream.holds_key(1), restarts)
