Let the soak's upstreams repeat refusals late

Cause: the stand-in repeated answers late on kept connections, refusals never. Change: under `duplicates_answers` it repeats 421 and 503 too, and one of the two draws of that fault also refuses all requests (the number of draws stays).

Evidence: test_a_refusal_is_repeated_late failed before (['r0', 'r1'], not ['r0', 'r0']).

--- a/src/lentilgauge/load/soak_faults.py
+++ b/src/lentilgauge/load/soak_faults.py
@@ -258,7 +258,9 @@
             gateway_upstream.UpstreamFaults(refuses_requests=True),
             gateway_upstream.UpstreamFaults(loses_answers=True),
             gateway_upstream.UpstreamFaults(duplicates_answers=True),
-            gateway_upstream.UpstreamFaults(duplicates_answers=True),
+            gateway_upstream.UpstreamFaults(
+                refuses_requests=True, duplicates_answers=True
+            ),
             gateway_upstream.UpstreamFaults(ignores_orders=True),
             gateway_upstream.UpstreamFaults(delays_grants=True),
         ),
--- a/src/lentilgauge/standins/gateway_upstream.py
+++ b/src/lentilgauge/standins/gateway_upstream.py
@@ -54,7 +54,8 @@
     them and closes their connections. `ignores_orders` neither executes nor
     answers orders; `delays_grants` executes grants after a delay and doesn't
     answer them; `accepts_any_id` executes orders for other ids. With
-    `duplicates_answers` each answer is sent a second time.
+    `duplicates_answers` each answer to a request is sent a second time,
+    refusals too.
     """
 
     refuses_requests: bool = False
@@ -169,11 +170,13 @@
             return standin_server.Answer(
                 status=http.HTTPStatus.MISDIRECTED_REQUEST,
                 headers=refusal_headers,
+                duplicated=self.faults.duplicates_answers,
             )
         if self.faults.refuses_requests:
             return standin_server.Answer(
                 status=http.HTTPStatus.SERVICE_UNAVAILABLE,
                 headers=refusal_headers,
+                duplicated=self.faults.duplicates_answers,
             )
         if self._queued >= _QUEUE_LIMIT:
             standin_server.close_connection(request)
@@ -200,6 +203,7 @@
             return standin_server.Answer(
                 status=http.HTTPStatus.MISDIRECTED_REQUEST,
                 headers=refusal_headers,
+                duplicated=self.faults.duplicates_answers,
             )
         echoed_id = refusal_headers[headers.REQUEST_ID]
         self.callbacks.execution_started(
--- a/tests/test_soak_upstream.py
+++ b/tests/test_soak_upstream.py
@@ -60,6 +60,18 @@
             timeout_ms,
         )
 
+    async def test_a_refusal_is_repeated_late(self) -> None:
+        """The next request on the connection gets the earlier refusal."""
+        self.upstream.faults.refuses_requests = True
+        self.upstream.faults.duplicates_answers = True
+        refused_ids = []
+        for request_id in ('r0', 'r1'):
+            reply = await self.send('/x', {headers.REQUEST_ID: request_id})
+            assert reply is not None
+            self.assertIn(headers.NOT_EXECUTED, reply.headers)
+            refused_ids.append(reply.headers[headers.REQUEST_ID])
+        self.assertEqual(refused_ids, ['r0', 'r0'])
+
     async def test_orders_for_any_id_are_accepted_under_the_fault_only(
         self,
     ) -> None:
