--- a/src/lentilgauge/load/weakened.py
+++ b/src/lentilgauge/load/weakened.py
@@ -6,10 +6,10 @@
 
 from lentilgauge import errors
 from lentilgauge.callers import forwarding, upstream_choice
-from lentilgauge.links import upstream_link
+from lentilgauge.links import http_client, upstream_link
 from lentilgauge.platform import program, upstream_adapter
 from lentilgauge.upstreams import upstream_load, upstream_state
-from lentilgauge.vms import key_orders
+from lentilgauge.vms import granter_state, key_orders
 from lentilgauge.vms import state_cache as state_cache_module
 
 
@@ -30,17 +30,22 @@
 
 def _report_lost_as_refused() -> None:
     """Report requests whose outcome is unknown as not executed."""
-    refuse = getattr(forwarding, '_refuse')  # ruff: ignore[get-attr-with-constant]
+    make_failure = getattr(forwarding, '_make_failure')  # ruff: ignore[get-attr-with-constant]
+    uncertain_kinds = {
+        errors.ErrorKind.UPSTREAM_LOST,
+        errors.ErrorKind.UPSTREAM_TIMEOUT,
+    }
 
     def misreport(
         kind: errors.ErrorKind, detail: str
     ) -> forwarding.ForwardResult:
-        lost = kind is errors.ErrorKind.UPSTREAM_LOST
-        reported_kind = errors.ErrorKind.UPSTREAM_REFUSED if lost else kind
-        forward_result: forwarding.ForwardResult = refuse(reported_kind, detail)
+        uncertain = kind in uncertain_kinds
+        forward_result: forwarding.ForwardResult = make_failure(
+            errors.ErrorKind.UPSTREAM_REFUSED if uncertain else kind, detail
+        )
         return forward_result
 
-    _replace(forwarding, '_refuse', misreport)
+    _replace(forwarding, '_make_failure', misreport)
 
 
 def _grant_without_release() -> None:
@@ -79,7 +84,12 @@
 
 
 def _accept_any_reply() -> None:
-    """Accept any reply on a connection as the answer to its request."""
+    """Accept any reply on a connection as the answer to its request.
+
+    Two places compare a reply's request id: the HTTP client, which aborts the
+    transfer, and the adapter.
+    """
+    _replace(http_client, '_is_mismatched', lambda *_: False)
     find_proof = getattr(upstream_adapter, '_find_proof')  # ruff: ignore[get-attr-with-constant]
 
     def assume_executed(attempt: object, reply: object) -> upstream_link.Proof:
@@ -91,6 +101,15 @@
     _replace(upstream_adapter, '_find_proof', assume_executed)
 
 
+def _repeat_tokens() -> None:
+    """Send all grants, renewals too, under the last token allocated."""
+
+    def repeat_fence(state: granter_state.GranterState) -> int:
+        return state.ownership.next_fence - 1
+
+    _replace(granter_state, 'take_fence', repeat_fence)
+
+
 WEAKENINGS: Mapping[str, Callable[[], None]] = types.MappingProxyType(
     {
         'repeats': _retry_unsafe_failures,
@@ -100,6 +119,7 @@
         'leaving': _ignore_draining,
         'configuration': _keep_first_configuration,
         'answers': _accept_any_reply,
+        'tokens': _repeat_tokens,
     }
 )
 
