Let leases stand while a term record's write is unknown

Cause: while the outcome of a write of a term's record was unknown, the controller counted no vouch at all, and forgot those it had. A store outage that began during such a write (they come with every change of the live VMs) so stopped the renewals once the platform's confirmation had worn off: all slots of these terms were refused, though every witness was there.

Records named no witness at settling, as the one VM that had announced itself opened all terms; the outage met the rewrite. From 2690 ms after the last confirmation on: "no grant, named: [], vouched: [], uncertain: True"; 40 of 40 requests then got 503, "lease_lapsed". The write's outcome was still unknown 6 s after the outage began.

Change: a lease keeps each set of witnesses that its record may name, with the record's version, and grants only with a quorum of each; a later term asks the witnesses of one of these sets. A vouch belongs to a witness's incarnation. A successful write rules out the versions up to its own, and what is adopted is what is stored. While a release is unknown no vouch counts, as before.

Result: the first focused test fails before (2 of 4 slots served after a while, with the write applied and without) and passes now; the tests of the ownership model and of its replication pass (16).

--- a/src/lentilgauge/contracts/lessor.py
+++ b/src/lentilgauge/contracts/lessor.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from lentilgauge.contracts import lease
+from lentilgauge.contracts import lease, witness
 
 _PER_MILLE = 1000
 
@@ -44,9 +44,10 @@
 
     `sequence` and `granted_slots` are those of the latest grant. `acked_slots`
     are the slots that the upstream last accepted, `busy_slots` those with
-    requests in flight. `incarnation_by_witness` has the witnesses that the
-    term's record names, and `vouch_deadline_by_vm` until when each of them
-    vouches for the term.
+    requests in flight. `witness_sets` are the sets of witnesses that the
+    term's record may name, more than one while the outcome of a write is
+    unknown, and `vouch_deadline_by_witness` is until when each vouches for the
+    term.
 
     An upstream that doesn't check tokens can't refuse stale requests:
     entries may keep sending it requests for slots that move away until the
@@ -57,7 +58,7 @@
     map, and until it has `stepped_down` for a later term. The next grant is due
     at `renewal_due_ms`; `granted_map_epoch` is the epoch of the slot map that
     the latest grant or poll was made from. While `record_uncertain` is set, it
-    is unknown which witnesses the term's record names.
+    is unknown whether a write of the term's record took effect.
     """
 
     upstream_id: str
@@ -81,10 +82,10 @@
     earlier_terms_lapse_ms: int | None = None
     ready: bool = False
     granted_map_epoch: int = 0
-    incarnation_by_witness: dict[str, str] = dataclasses.field(
-        default_factory=dict,
+    witness_sets: set[witness.WitnessSet] = dataclasses.field(
+        default_factory=set,
     )
-    vouch_deadline_by_vm: dict[str, int] = dataclasses.field(
+    vouch_deadline_by_witness: dict[witness.WitnessId, int] = dataclasses.field(
         default_factory=dict,
     )
 
--- a/src/lentilgauge/contracts/witness.py
+++ b/src/lentilgauge/contracts/witness.py
@@ -24,6 +24,25 @@
     deadline_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WitnessId:
+    """VM that a term's record names as a witness, and its incarnation."""
+
+    vm: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WitnessSet:
+    """Witnesses that a version of a term's record names, if it is written.
+
+    Without members there is no quorum.
+    """
+
+    version: int
+    members: frozenset[WitnessId]
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Witness:
     """Vouches and releases by one VM's controller in its role as a witness.
--- a/src/lentilgauge/vms/terms.py
+++ b/src/lentilgauge/vms/terms.py
@@ -5,15 +5,22 @@
 """
 
 import asyncio
+import dataclasses
 
 from returns import result
 
 from lentilgauge import clock, logs
-from lentilgauge.contracts import lessor
+from lentilgauge.contracts import lessor, witness
 from lentilgauge.links import state_messages
 from lentilgauge.services import placement
 from lentilgauge.vms import controller as controller_module
-from lentilgauge.vms import membership, object_writes, settlement, witnesses
+from lentilgauge.vms import (
+    membership,
+    object_writes,
+    replica,
+    settlement,
+    witnesses,
+)
 
 _OPEN_TERMS_INTERVAL_MS = 500
 _SETTLE_INTERVAL_MS = 300
@@ -137,7 +144,9 @@
         if previous_state is None
         else previous_state.own_grants_lapse_ms,
     )
-    _adopt_record_witnesses(new_lease_state, record)
+    new_lease_state.witness_sets.add(
+        _make_witness_set(write.unwrap().version, record)
+    )
     controller.lease_state_by_upstream[upstream_id] = new_lease_state
     logs.log_change('opened a term', upstream=upstream_id, term=record.term)
     await _prepare_to_grant(controller, new_lease_state)
@@ -171,14 +180,40 @@
     return upstream is not None and upstream.checks_tokens
 
 
-def _adopt_record_witnesses(
-    lease_state: lessor.Lessor,
-    record: state_messages.TermBody,
+def _make_witness_set(
+    version: int, record: state_messages.TermBody
+) -> witness.WitnessSet:
+    return witness.WitnessSet(
+        version=version,
+        members=frozenset(
+            witness.WitnessId(
+                vm=witness_body.vm, incarnation=witness_body.incarnation
+            )
+            for witness_body in record.witnesses
+        ),
+    )
+
+
+def _adopt_written_witnesses(
+    lease_state: lessor.Lessor, written_set: witness.WitnessSet
 ) -> None:
-    lease_state.vouch_deadline_by_vm.clear()
-    lease_state.incarnation_by_witness = {
-        witness_body.vm: witness_body.incarnation
-        for witness_body in record.witnesses
+    """Drop the sets of versions that a successful write has ruled out."""
+    lease_state.witness_sets = {
+        witness_set
+        for witness_set in lease_state.witness_sets
+        if witness_set.version > written_set.version
+    }
+    lease_state.witness_sets.add(written_set)
+    # A vouch is for the term, whichever version names the witness.
+    lease_state.vouch_deadline_by_witness = {
+        witness_id: deadline_ms
+        for witness_id, deadline_ms in (
+            lease_state.vouch_deadline_by_witness.items()
+        )
+        if any(
+            witness_id in witness_set.members
+            for witness_set in lease_state.witness_sets
+        )
     }
 
 
@@ -327,18 +362,28 @@
 
     After a failure the record is uncertain: the write may have been applied.
     """
-    # Until the write is confirmed, it is unknown which witnesses the record
-    # names, so no vouch counts.
-    lease_state.record_uncertain = True
-    lease_state.vouch_deadline_by_vm.clear()
-    lease_state.incarnation_by_witness = {}
-    write = await object_writes.write_if_unchanged(
-        controller,
-        _make_object_name(lease_state.upstream_id),
-        new_record,
+    name = _make_object_name(lease_state.upstream_id)
+    # Until the write is confirmed, the record may name the witnesses of
+    # either version.
+    possible_set = _make_witness_set(
+        replica.get_version(controller.replica, name) + 1, new_record
     )
+    if new_record.released:
+        # No later term accounts for grants of a lease that may be released, so
+        # no vouch counts.
+        possible_set = dataclasses.replace(possible_set, members=frozenset())
+    lease_state.record_uncertain = True
+    lease_state.witness_sets.add(possible_set)
+    write = await object_writes.write_if_unchanged(controller, name, new_record)
     if not isinstance(write, result.Success):
         return False
     lease_state.record_uncertain = False
-    _adopt_record_witnesses(lease_state, new_record)
+    stored = write.unwrap()
+    _adopt_written_witnesses(
+        lease_state,
+        _make_witness_set(
+            stored.version,
+            state_messages.TermBody.model_validate(stored.body),
+        ),
+    )
     return True
--- a/src/lentilgauge/vms/witnesses.py
+++ b/src/lentilgauge/vms/witnesses.py
@@ -72,11 +72,11 @@
 
 async def _request_vouches(
     controller: controller_module.Controller,
-    witness_body: state_messages.WitnessBody,
+    witness_id: witness.WitnessId,
     lease_states: list[lessor.Lessor],
 ) -> None:
-    """Request one witness's vouches for all terms that name it."""
-    address = _find_address(controller, witness_body.vm)
+    """Request one witness's vouches for all terms that may name it."""
+    address = _find_address(controller, witness_id.vm)
     if address is None:
         return
     sent_ms = controller.now_ms()
@@ -97,7 +97,7 @@
     if not isinstance(response, result.Success):
         return
     reply = response.unwrap()
-    if reply.incarnation != witness_body.incarnation:
+    if reply.incarnation != witness_id.incarnation:
         return
     # The witness counts from the arrival of the request; this deadline counts
     # from before it was sent, less the clock drift, and so passes first.
@@ -106,14 +106,11 @@
     )
     vouched_upstream_ids = set(reply.vouched)
     for lease_state in lease_states:
-        current_incarnation = lease_state.incarnation_by_witness.get(
-            witness_body.vm
-        )
         if (
             lease_state.upstream_id in vouched_upstream_ids
-            and current_incarnation == witness_body.incarnation
+            and witness_id in _list_named(lease_state)
         ):
-            lease_state.vouch_deadline_by_vm[witness_body.vm] = deadline_ms
+            lease_state.vouch_deadline_by_witness[witness_id] = deadline_ms
 
 
 def _subtract_drift(
@@ -124,38 +121,57 @@
 
 
 def has_vouch_quorum(lease_state: lessor.Lessor, now_ms: int) -> bool:
-    """Check whether a quorum of the term's witnesses vouches now."""
-    return now_ms < witness.find_quorum_deadline(
-        list(lease_state.vouch_deadline_by_vm.values()),
-        len(lease_state.incarnation_by_witness),
+    """Check whether a quorum of the term's witnesses vouches now.
+
+    If the record may name one of several sets, each needs a quorum, since a
+    later term asks only the witnesses that the record then names.
+    """
+    deadline_by_witness = lease_state.vouch_deadline_by_witness
+    return bool(lease_state.witness_sets) and all(
+        now_ms
+        < witness.find_quorum_deadline(
+            [
+                deadline_by_witness[member]
+                for member in witness_set.members & deadline_by_witness.keys()
+            ],
+            len(witness_set.members),
+        )
+        for witness_set in lease_state.witness_sets
     )
 
 
 async def request_all_vouches(controller: controller_module.Controller) -> None:
     """Request vouches from all witnesses of this VM's terms once."""
-    requests = []
-    for vm_id, lease_states in _group_by_witness(controller).items():
-        incarnation = lease_states[0].incarnation_by_witness[vm_id]
-        witness_body = state_messages.WitnessBody(
-            vm=vm_id, incarnation=incarnation
-        )
-        requests.append(
-            _request_vouches(controller, witness_body, lease_states)
+    await asyncio.gather(
+        *(
+            _request_vouches(controller, witness_id, lease_states)
+            for witness_id, lease_states in _group_by_witness(
+                controller
+            ).items()
         )
-    await asyncio.gather(*requests)
+    )
     controller.metrics.count('vouch_rounds')
 
 
 def _group_by_witness(
     controller: controller_module.Controller,
-) -> dict[str, list[lessor.Lessor]]:
-    lease_states_by_vm: dict[str, list[lessor.Lessor]] = {}
+) -> dict[witness.WitnessId, list[lessor.Lessor]]:
+    lease_states_by_witness: dict[witness.WitnessId, list[lessor.Lessor]] = {}
     for lease_state in controller.lease_state_by_upstream.values():
         if lease_state.stepped_down:
             continue
-        for vm_id in lease_state.incarnation_by_witness:
-            lease_states_by_vm.setdefault(vm_id, []).append(lease_state)
-    return lease_states_by_vm
+        for witness_id in _list_named(lease_state):
+            lease_states_by_witness.setdefault(witness_id, []).append(
+                lease_state
+            )
+    return lease_states_by_witness
+
+
+def _list_named(lease_state: lessor.Lessor) -> frozenset[witness.WitnessId]:
+    """List the witnesses that the term's record may name."""
+    return frozenset().union(
+        *(witness_set.members for witness_set in lease_state.witness_sets)
+    )
 
 
 async def keep_requesting_vouches(
