Let hazard 8 wait until every term has its witnesses

Cause: the test began its outage as soon as the slots were settled. A term's first record names only the VMs that had announced themselves by then, often none; then leases end with the platform's confirmation, as documented.

Change: the test waits until the store's records of all terms name every other VM, are not released and have no earlier term to settle. Its bounds and assertions are the same.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,7 +6,7 @@
 import unittest
 
 from lentilgauge import errors
-from lentilgauge.links import operator_link
+from lentilgauge.links import object_api, operator_link, state_messages
 from lentilgauge.load import (
     cluster,
     journal_analysis,
@@ -179,6 +179,40 @@
             if upstream_status.id == upstream_id
         )
 
+    async def read_term(
+        self, system, upstream_id: str
+    ) -> state_messages.TermBody:
+        """Read the record of an upstream's term from the store."""
+        link = object_api.PlatformLink(
+            client=system.client,
+            base_url=system.cluster.get_url(topology.PLATFORM),
+            timeout_ms=5000,
+        )
+        name = f'{state_messages.TERM_PREFIX}{upstream_id}'
+        stored = await object_api.read_object(link, name)
+        return state_messages.TermBody.model_validate(stored.unwrap().body)
+
+    async def wait_until_witnessed(self, system) -> None:
+        """Wait until all leases are open and all their witnesses recorded.
+
+        That is every other VM, and no earlier term is left to settle. A term's
+        first record names the VMs only that had announced themselves by then.
+        """
+
+        async def is_witnessed() -> bool:
+            records = [
+                await self.read_term(system, upstream.id)
+                for upstream in system.cluster.system_topology.upstreams
+            ]
+            return not any(
+                record.released
+                or record.unsettled
+                or len(record.witnesses) < len(system.vms) - 1
+                for record in records
+            )
+
+        await wait_for(is_witnessed)
+
     async def send_to_all_keys(self, system, key_prefix: str) -> list[int]:
         """Send a request for each key and return the response statuses.
 
@@ -302,6 +336,8 @@
             killed = 'cases-3'
             outage = platform_server.FaultsMessage(down=True)
             name = topology.PLATFORM
+            # Without witnesses, leases end with the store's confirmation.
+            await self.wait_until_witnessed(system)
             await system_client.set_faults(
                 system.cluster, system.client, name, outage
             )
