Let hazard 6 freeze its server with requests in the queue

Cause: the test froze the upstream and sent, without a look whether a request reached it before its slots went to others. Entries that are late by more than a lease send nothing to it, or only after it has thawed.

Change: the test waits until bytes from an entry lie unread at the upstream's port. If it loses its slots first, it's thawed and frozen again, with new keys; only the round with a queue is judged, by the same assertions.

--- a/src/lentilgauge/load/cluster.py
+++ b/src/lentilgauge/load/cluster.py
@@ -201,6 +201,17 @@
     )
 
 
+def has_unread_request(cluster: Cluster, upstream_id: str) -> bool:
+    """Return whether bytes from an entry wait unread at an upstream."""
+    return any(
+        processes.count_unread_bytes(
+            cluster.process_by_name[topology.name_entry(vm)].pid,
+            cluster.port_by_name[upstream_id],
+        )
+        for vm in cluster.system_topology.vms
+    )
+
+
 def send_signal(
     cluster: Cluster,
     name: str,
--- a/src/lentilgauge/load/processes.py
+++ b/src/lentilgauge/load/processes.py
@@ -1,6 +1,7 @@
 """Start, measure and stop child processes; only the load tool may do so."""
 
 import asyncio
+import contextlib
 import dataclasses
 import os
 import pathlib
@@ -12,6 +13,9 @@
 #: `/proc/PID/stat`.
 _USER_TICKS_INDEX = 11
 _SYSTEM_TICKS_INDEX = 12
+#: Index of the inode among the fields of a line of `/proc/net/tcp`.
+_INODE_INDEX = 9
+_HEXADECIMAL = 16
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -83,6 +87,53 @@
     return 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Socket:
+    """One end of a TCP connection, with the bytes that nobody has read."""
+
+    local_port: int
+    remote_port: int
+    unread_bytes: int
+    inode: str
+
+
+def _parse_socket(line: str) -> _Socket:
+    fields = line.split()
+    local_address, remote_address, _, queues = fields[1:5]
+    return _Socket(
+        local_port=int(local_address.rpartition(':')[2], _HEXADECIMAL),
+        remote_port=int(remote_address.rpartition(':')[2], _HEXADECIMAL),
+        unread_bytes=int(queues.rpartition(':')[2], _HEXADECIMAL),
+        inode=fields[_INODE_INDEX],
+    )
+
+
+def _list_socket_links(pid: int) -> set[str]:
+    links = set()
+    for path in pathlib.Path(f'/proc/{pid}/fd').iterdir():
+        # The process may close a descriptor meanwhile.
+        with contextlib.suppress(FileNotFoundError):
+            links.add(str(path.readlink()))
+    return links
+
+
+def count_unread_bytes(pid: int, port: int) -> int:
+    """Count the bytes from a process that wait unread at a loopback port."""
+    lines = pathlib.Path('/proc/net/tcp').read_text(encoding='utf-8')
+    sockets = [_parse_socket(line) for line in lines.splitlines()[1:]]
+    links = _list_socket_links(pid)
+    sending_ports = {
+        end.local_port
+        for end in sockets
+        if end.remote_port == port and f'socket:[{end.inode}]' in links
+    }
+    return sum(
+        end.unread_bytes
+        for end in sockets
+        if end.local_port == port and end.remote_port in sending_ports
+    )
+
+
 async def stop_process(process: Process, signal_number: signal.Signals) -> None:
     """Send a signal to a process, if it runs, and wait until it has ended."""
     if process.child.returncode is None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -232,6 +232,39 @@
         )
         return [call_result.unwrap().status for call_result in called]
 
+    async def freeze_with_queue(
+        self, system, upstream_id: str
+    ) -> tuple[asyncio.Task[list[int]], str]:
+        """Freeze an upstream while requests from entries wait unread at it.
+
+        If it loses its slots before one has reached it, it's thawed, and
+        frozen again once it owns some. Return the task that sends the requests
+        and the prefix of their idempotency keys.
+        """
+
+        async def has_slots() -> bool:
+            return bool(await self.count_slots(system, upstream_id))
+
+        async def is_decided() -> bool:
+            return is_queued() or not await has_slots()
+
+        def is_queued() -> bool:
+            return cluster.has_unread_request(system.cluster, upstream_id)
+
+        for number in range(_MAX_POLLS):
+            key_prefix = f'frozen-{number}'
+            await wait_for(has_slots)
+            cluster.send_signal(system.cluster, upstream_id, signal.SIGSTOP)
+            sending = asyncio.ensure_future(
+                self.send_to_all_keys(system, key_prefix),
+            )
+            await wait_for(is_decided)
+            if is_queued():
+                return sending, key_prefix
+            cluster.send_signal(system.cluster, upstream_id, signal.SIGCONT)
+            await sending
+        raise AssertionError('no request reached the frozen upstream')
+
     def check_journals(self, system) -> journal_analysis.JournalFindings:
         """Assert that no slot had two owners and no request ran twice."""
         journal_findings = journal_analysis.analyse_journals(
@@ -279,17 +312,14 @@
     async def test_hazard_6_a_frozen_server_refuses_its_queue(self) -> None:
         async with systems.run_system(make_topology()) as system:
             frozen = 'cases-2'
-            cluster.send_signal(system.cluster, frozen, signal.SIGSTOP)
-            sent_while_frozen = asyncio.ensure_future(
-                self.send_to_all_keys(system, 'frozen'),
-            )
 
             async def has_lost_all_slots() -> bool:
                 return not await self.count_slots(system, frozen)
 
+            sending, key_prefix = await self.freeze_with_queue(system, frozen)
             await wait_for(has_lost_all_slots)
             cluster.send_signal(system.cluster, frozen, signal.SIGCONT)
-            await sent_while_frozen
+            await sending
             self.assertEqual(
                 set(await self.send_to_all_keys(system, 'thawed')),
                 {200},
@@ -299,7 +329,7 @@
                 journal_line.reason
                 for journal_line in lines
                 if journal_line.upstream_id == frozen
-                and journal_line.idempotency_key.startswith('frozen')
+                and journal_line.idempotency_key.startswith(f'{key_prefix}-')
             ]
             # Requests that waited at the upstream while it was frozen must be
             # rejected as not run.
