End every process of a system whose start fails

Cause: a process that wasn't ready within the 30 s was left running, and known to nobody, as it was registered only when ready.

Change: a start that fails, is too slow or is cancelled ends its process; the others are cancelled and have ended when the failure is raised. The bound of 30 s is as before.

--- a/src/lentilgauge/load/cluster.py
+++ b/src/lentilgauge/load/cluster.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 
 from lentilgauge.load import processes, topology
 
@@ -181,24 +181,37 @@
 
 
 async def start_all(cluster: Cluster) -> None:
-    """Start all processes; the entries only if `starts_entries` is set."""
+    """Start all processes; the entries only if `starts_entries` is set.
+
+    If one fails, the other starts are over too when the failure is raised.
+    """
     await start_platform(cluster)
-    await asyncio.gather(
-        *(
-            start_proxy(cluster, name)
-            for name in cluster.system_topology.proxied_names
-        ),
+    starts = [
+        asyncio.ensure_future(start) for start in _list_later_starts(cluster)
+    ]
+    try:
+        await asyncio.gather(*starts)
+    finally:
+        for start in starts:
+            start.cancel()
+        await asyncio.gather(*starts, return_exceptions=True)
+
+
+def _list_later_starts(
+    cluster: Cluster,
+) -> list[Coroutine[object, object, None]]:
+    """List the starts of all processes but the platform."""
+    system_topology = cluster.system_topology
+    entry_vms = system_topology.vms if system_topology.starts_entries else ()
+    return [
+        *(start_proxy(cluster, name) for name in system_topology.proxied_names),
         *(
             start_upstream(cluster, upstream)
-            for upstream in cluster.system_topology.upstreams
+            for upstream in system_topology.upstreams
         ),
-        *(start_controller(cluster, vm) for vm in cluster.system_topology.vms),
-        *(
-            start_entry(cluster, vm)
-            for vm in cluster.system_topology.vms
-            if cluster.system_topology.starts_entries
-        ),
-    )
+        *(start_controller(cluster, vm) for vm in system_topology.vms),
+        *(start_entry(cluster, vm) for vm in entry_vms),
+    ]
 
 
 def has_unread_request(cluster: Cluster, upstream_id: str) -> bool:
--- a/src/lentilgauge/load/processes.py
+++ b/src/lentilgauge/load/processes.py
@@ -44,7 +44,8 @@
 
     Its error output is appended to the file `log_path`. Raise
     `NotStartedError` if the first line of its output isn't that report, and
-    `TimeoutError` if there is none within `START_TIMEOUT_SECONDS`.
+    `TimeoutError` if there is none within `START_TIMEOUT_SECONDS`. The process
+    has ended then.
     """
     with log_path.open('ab') as log_file:
         child = await asyncio.create_subprocess_exec(
@@ -56,9 +57,15 @@
     stdout = child.stdout
     if stdout is None:
         raise NotStartedError(name)
-    line = await asyncio.wait_for(stdout.readline(), START_TIMEOUT_SECONDS)
-    if not line.strip().endswith(b'ready'):
-        await stop_process(process, signal.SIGKILL)
+    is_ready = False
+    try:
+        line = await asyncio.wait_for(stdout.readline(), START_TIMEOUT_SECONDS)
+        is_ready = line.strip().endswith(b'ready')
+    finally:
+        # Nobody else knows the child yet, also if this start is cancelled.
+        if not is_ready:
+            await stop_process(process, signal.SIGKILL)
+    if not is_ready:
         raise NotStartedError(f'{name}: see {log_path}')
     return process
 
