--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,21 +2,27 @@
 
 import asyncio
 import json
+import os
+import pathlib
 import signal
+import tempfile
 import unittest
+from unittest import mock
 
 from lentilgauge import errors
-from lentilgauge.links import operator_link
+from lentilgauge.links import object_api, operator_link, state_messages
 from lentilgauge.load import (
     cluster,
     journal_analysis,
+    processes,
     system_client,
     topology,
     user_topologies,
 )
 from lentilgauge.operators import status
 from lentilgauge.standins import fault_proxy, platform_server
-from tests import systems
+from lentilgauge.vms import terms, witnesses
+from tests import controller_model, systems
 
 SLOT_COUNT = 32
 KEY_COUNT = 40
@@ -43,6 +49,161 @@
     raise AssertionError('the condition did not become true')
 
 
+async def start_model() -> controller_model.Model:
+    """Start a model of four VMs and three upstreams; let it settle."""
+    model = controller_model.Model(controller_count=4, upstream_count=3)
+    await model.configure()
+    await model.run_all_controllers(12)
+    return model
+
+
+def cut_platform(
+    model: controller_model.Model, *, applies_writes: bool
+) -> None:
+    """Cut all controllers off from the platform, or only from its answers."""
+    for vm_controller in model.controllers:
+        requests = (vm_controller.vm_id, controller_model.PLATFORM)
+        answers = (controller_model.PLATFORM, vm_controller.vm_id)
+        model.network.cut_links.add(answers if applies_writes else requests)
+
+
+async def rewrite_records(model: controller_model.Model) -> list[bool]:
+    """Let each controller write its terms' records with fewer witnesses.
+
+    Return whether each write is known to have succeeded.
+    """
+    writes = []
+    for vm_controller in model.controllers:
+        for lease_state in vm_controller.lease_state_by_upstream.values():
+            record = vm_controller.replica.term_by_upstream[
+                lease_state.upstream_id
+            ]
+            update = {'witnesses': record.witnesses[:1]}
+            writes.append(
+                await terms.write_term_record(
+                    vm_controller,
+                    lease_state,
+                    record.model_copy(update=update),
+                ),
+            )
+    return writes
+
+
+class UnknownRecordWritesTest(unittest.IsolatedAsyncioTestCase):
+    """Leases while it is unknown which witnesses a term's record names."""
+
+    async def test_leases_stand_while_a_record_write_is_unknown(self) -> None:
+        """A store outage that begins during a write stops no renewal."""
+        for applies_writes in (False, True):
+            with self.subTest(applies_writes=applies_writes):
+                model = await start_model()
+                cut_platform(model, applies_writes=applies_writes)
+                self.assertEqual(set(await rewrite_records(model)), {False})
+                for _ in range(60):
+                    await model.run_all_controllers()
+                    self.assertEqual(
+                        model.count_served_slots(), controller_model.SLOT_COUNT
+                    )
+                model.close()
+
+    async def test_each_set_that_a_record_may_name_must_vouch(self) -> None:
+        """A later term asks one set to stop, so a quorum of it must count."""
+        model = await start_model()
+        cut_platform(model, applies_writes=False)
+        await rewrite_records(model)
+        for vm_controller in model.controllers:
+            await witnesses.request_all_vouches(vm_controller)
+            for lease_state in vm_controller.lease_state_by_upstream.values():
+                now_ms = vm_controller.now_ms()
+                self.assertTrue(witnesses.has_vouch_quorum(lease_state, now_ms))
+                sole_witness = next(
+                    member
+                    for witness_set in lease_state.witness_sets
+                    for member in witness_set.members
+                    if len(witness_set.members) == 1
+                )
+                # The other two are still a quorum of the earlier set.
+                lease_state.vouch_deadline_by_witness.pop(sole_witness)
+                self.assertFalse(
+                    witnesses.has_vouch_quorum(lease_state, now_ms)
+                )
+        model.close()
+
+    async def test_no_vouch_counts_while_a_release_is_unknown(self) -> None:
+        model = await start_model()
+        cut_platform(model, applies_writes=True)
+        for vm_controller in model.controllers:
+            for lease_state in vm_controller.lease_state_by_upstream.values():
+                record = vm_controller.replica.term_by_upstream[
+                    lease_state.upstream_id
+                ]
+                released = record.model_copy(update={'released': True})
+                await terms.write_term_record(
+                    vm_controller, lease_state, released
+                )
+                await witnesses.request_all_vouches(vm_controller)
+                self.assertFalse(
+                    witnesses.has_vouch_quorum(
+                        lease_state, vm_controller.now_ms()
+                    )
+                )
+        model.close()
+
+
+#: Program that notes its process id. Only the platform gets ready, and entries
+#: end at once.
+_PROGRAM = """#!/bin/sh
+touch {folder}/$$.pid
+case "$*" in
+*platform*) echo ready ;;
+*entry*) exit 1 ;;
+esac
+exec sleep 600
+"""
+
+
+class FailedStartTest(unittest.IsolatedAsyncioTestCase):
+    """Starts of a system of which a process fails."""
+
+    async def test_a_failed_start_leaves_no_process(self) -> None:
+        with tempfile.TemporaryDirectory() as folder_name:
+            folder = pathlib.Path(folder_name)
+            program = folder / 'program'
+            program.write_text(_PROGRAM.format(folder=folder), encoding='utf-8')
+            program.chmod(0o700)
+            failed = cluster.make_cluster(make_topology(), folder)
+            find_program = mock.patch.object(
+                cluster, 'find_program', return_value=str(program)
+            )
+            with (
+                find_program,
+                self.assertRaises(processes.NotStartedError),
+            ):
+                await cluster.start_all(failed)
+            await cluster.kill_all(failed)
+            self.assert_ended(folder)
+
+    async def test_a_start_that_takes_too_long_leaves_no_process(self) -> None:
+        with tempfile.TemporaryDirectory() as folder_name:
+            folder = pathlib.Path(folder_name)
+            too_long = mock.patch.object(processes, 'START_TIMEOUT_SECONDS', 1)
+            command = f'touch {folder}/$$.pid; exec sleep 600'
+            with too_long, self.assertRaises(TimeoutError):
+                await processes.start_process(
+                    'slow', ('/bin/sh', '-c', command), folder / 'slow.log'
+                )
+            self.assert_ended(folder)
+
+    def assert_ended(self, folder: pathlib.Path) -> None:
+        """Assert that all processes that left their id have ended."""
+        pids = [path.stem for path in folder.glob('*.pid')]
+        self.assertTrue(pids)
+        running = [pid for pid in pids if pathlib.Path('/proc', pid).exists()]
+        for pid in running:
+            os.kill(int(pid), signal.SIGKILL)
+        self.assertEqual(running, [])
+
+
 class FaultsTest(unittest.IsolatedAsyncioTestCase):
     """Faults in a system of real processes, one system per test."""
 
@@ -77,6 +238,40 @@
             if upstream_status.id == upstream_id
         )
 
+    async def read_term(
+        self, system, upstream_id: str
+    ) -> state_messages.TermBody:
+        """Read the record of an upstream's term from the store."""
+        link = object_api.PlatformLink(
+            client=system.client,
+            base_url=system.cluster.get_url(topology.PLATFORM),
+            timeout_ms=5000,
+        )
+        name = f'{state_messages.TERM_PREFIX}{upstream_id}'
+        stored = await object_api.read_object(link, name)
+        return state_messages.TermBody.model_validate(stored.unwrap().body)
+
+    async def wait_until_witnessed(self, system) -> None:
+        """Wait until all leases are open and all their witnesses recorded.
+
+        That is every other VM, and no earlier term is left to settle. A term's
+        first record names the VMs only that had announced themselves by then.
+        """
+
+        async def is_witnessed() -> bool:
+            records = [
+                await self.read_term(system, upstream.id)
+                for upstream in system.cluster.system_topology.upstreams
+            ]
+            return not any(
+                record.released
+                or record.unsettled
+                or len(record.witnesses) < len(system.vms) - 1
+                for record in records
+            )
+
+        await wait_for(is_witnessed)
+
     async def send_to_all_keys(self, system, key_prefix: str) -> list[int]:
         """Send a request for each key and return the response statuses.
 
@@ -96,6 +291,39 @@
         )
         return [call_result.unwrap().status for call_result in called]
 
+    async def freeze_with_queue(
+        self, system, upstream_id: str
+    ) -> tuple[asyncio.Task[list[int]], str]:
+        """Freeze an upstream while requests from entries wait unread at it.
+
+        If it loses its slots before one has reached it, it's thawed, and
+        frozen again once it owns some. Return the task that sends the requests
+        and the prefix of their idempotency keys.
+        """
+
+        async def has_slots() -> bool:
+            return bool(await self.count_slots(system, upstream_id))
+
+        async def is_decided() -> bool:
+            return is_queued() or not await has_slots()
+
+        def is_queued() -> bool:
+            return cluster.has_unread_request(system.cluster, upstream_id)
+
+        for number in range(_MAX_POLLS):
+            key_prefix = f'frozen-{number}'
+            await wait_for(has_slots)
+            cluster.send_signal(system.cluster, upstream_id, signal.SIGSTOP)
+            sending = asyncio.ensure_future(
+                self.send_to_all_keys(system, key_prefix),
+            )
+            await wait_for(is_decided)
+            if is_queued():
+                return sending, key_prefix
+            cluster.send_signal(system.cluster, upstream_id, signal.SIGCONT)
+            await sending
+        raise AssertionError('no request reached the frozen upstream')
+
     def check_journals(self, system) -> journal_analysis.JournalFindings:
         """Assert that no slot had two owners and no request ran twice."""
         journal_findings = journal_analysis.analyse_journals(
@@ -143,17 +371,14 @@
     async def test_hazard_6_a_frozen_server_refuses_its_queue(self) -> None:
         async with systems.run_system(make_topology()) as system:
             frozen = 'cases-2'
-            cluster.send_signal(system.cluster, frozen, signal.SIGSTOP)
-            sent_while_frozen = asyncio.ensure_future(
-                self.send_to_all_keys(system, 'frozen'),
-            )
 
             async def has_lost_all_slots() -> bool:
                 return not await self.count_slots(system, frozen)
 
+            sending, key_prefix = await self.freeze_with_queue(system, frozen)
             await wait_for(has_lost_all_slots)
             cluster.send_signal(system.cluster, frozen, signal.SIGCONT)
-            await sent_while_frozen
+            await sending
             self.assertEqual(
                 set(await self.send_to_all_keys(system, 'thawed')),
                 {200},
@@ -163,7 +388,7 @@
                 journal_line.reason
                 for journal_line in lines
                 if journal_line.upstream_id == frozen
-                and journal_line.idempotency_key.startswith('frozen')
+                and journal_line.idempotency_key.startswith(f'{key_prefix}-')
             ]
             # Requests that waited at the upstream while it was frozen must be
             # rejected as not run.
@@ -200,6 +425,8 @@
             killed = 'cases-3'
             outage = platform_server.FaultsMessage(down=True)
             name = topology.PLATFORM
+            # Without witnesses, leases end with the store's confirmation.
+            await self.wait_until_witnessed(system)
             await system_client.set_faults(
                 system.cluster, system.client, name, outage
             )
