--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -26,7 +26,7 @@
 #: to 300 MB.
 MAX_BUFFERED_BYTES = 33_554_432
 _STATUS_LINE = re.compile(rb'HTTP/\S+\s(\d{3})')
-#: What ends a head, whole.
+#: Lines that end a head.
 _BLANK_LINES = frozenset((b'\r\n', b'\n'))
 #: Returned by curl's callbacks to abort the transfer.
 _ABORT_TRANSFER = 0
--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -22,7 +22,7 @@
     store_link,
     upstream_link,
 )
-from lentilgauge.services import key_ranges, routes
+from lentilgauge.services import key_ranges
 from lentilgauge.upstreams import upstream_load, upstream_state
 from lentilgauge.vms import gateway, granter_following, peer_routes
 from lentilgauge.vms import state_cache as state_cache_module
@@ -205,14 +205,14 @@
             bounds=gateway_fixtures.BOUNDS,
             state_cache=state_cache_module.make_state_cache(
                 state_cache_module.Decoders(
-                    read_configuration=lambda _: make_configuration(),
+                    read_configuration=granting_upstreams.read_configuration,
                     read_upstream=self.read_upstream,
                 ),
                 self.now_ms,
             ),
             store=self.store.make_link(name),
             upstreams=upstream_link.UpstreamLink(
-                send_attempt=fail_unexpected_attempt,
+                send_attempt=granting_upstreams.fail_unexpected_attempt,
                 grant_keys=lambda order: self.deliver_order(
                     name,
                     order,
@@ -373,34 +373,6 @@
         return False
 
 
-async def fail_unexpected_attempt(
-    _: upstream_link.Attempt,
-) -> upstream_link.Outcome:
-    """Fail the test: the model has no callers, so no attempt may be sent."""
-    raise AssertionError('no request is sent in this model')
-
-
-def make_configuration() -> routes.Configuration:
-    """Make a configuration with one keyed service and no routes."""
-    return routes.Configuration(
-        version=1,
-        route_by_host_and_prefix={},
-        service_by_name={
-            granting_upstreams.SERVICE: routes.Service(
-                name=granting_upstreams.SERVICE,
-                keyed=True,
-                health_path='',
-                max_connections=10,
-                cold_start_requests_per_second=5,
-            ),
-        },
-        idle_timeout_ms=1,
-        header_timeout_ms=1,
-        max_body_bytes=1,
-        max_header_bytes=1,
-    )
-
-
 def find_granters(model: Model) -> list[str]:
     """List the VMs that consider themselves the granter."""
     return [
--- a/tests/granting_upstreams.py
+++ b/tests/granting_upstreams.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from lentilgauge.links import upstream_link
+from lentilgauge.services import routes
 from lentilgauge.upstreams import upstream_state
 
 if TYPE_CHECKING:
@@ -130,3 +131,31 @@
         """Release a key range."""
         self.seen_fences.append((order.start, order.end, order.fence))
         self.remove_keys(order.start, order.end)
+
+
+async def fail_unexpected_attempt(
+    _: upstream_link.Attempt,
+) -> upstream_link.Outcome:
+    """Fail the test: the model has no callers, so no attempt may be sent."""
+    raise AssertionError('no request is sent in this model')
+
+
+def read_configuration(_: object) -> routes.Configuration:
+    """Return a configuration with one keyed service and no routes."""
+    return routes.Configuration(
+        version=1,
+        route_by_host_and_prefix={},
+        service_by_name={
+            SERVICE: routes.Service(
+                name=SERVICE,
+                keyed=True,
+                health_path='',
+                max_connections=10,
+                cold_start_requests_per_second=5,
+            ),
+        },
+        idle_timeout_ms=1,
+        header_timeout_ms=1,
+        max_body_bytes=1,
+        max_header_bytes=1,
+    )
