Count followers of each earlier granter among its own VMs

A granter that most of its record's VMs follow may go on without the store. Its successor knows that and waits until half of those VMs follow it. But it removes VMs that were silent for 20 s from the record, and the next successor took the VMs of that record for those of every earlier granter: one VM that followed itself was half of two, so it moved keys while the first granter went on renewing them.

In the test, a granter and two of five VMs are cut off from the store and the other two; the first successor dies after 26 s.

The record now keeps with each unsettled granter the VMs of its own record, and each has to be followed by half, or to have stopped, on its own.

--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -37,12 +37,18 @@
 
 
 class Granter(msgspec.Struct, frozen=True, kw_only=True):
-    """Identity of the process that grants keys."""
+    """Identity of a process that grants keys.
+
+    `vms` is set for an earlier granter that may not have stopped yet: the VMs
+    of its record. It may go on while most of them follow it, whichever VMs
+    later records name.
+    """
 
     vm: str = ''
     address: str = ''
     failure_domain: str = ''
     incarnation: str = ''
+    vms: tuple[str, ...] = ()
 
 
 class Record(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,7 +58,7 @@
     term. `next_fence` is the first fencing token that the next granter may
     allocate. `vms` names, in order, the VMs that share the capacity of the
     upstreams. `slowness_by_id` is the measured slowness of each upstream, where
-    1 is normal. `unsettled` names earlier granters that may not have stopped
+    1 is normal. `unsettled` has the earlier granters that may not have stopped
     yet.
     """
 
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Coroutine
 
+import msgspec
 from returns import result
 
 from lentilgauge import clock, events
@@ -109,7 +110,9 @@
     if had_granter and not granter_handover.was_handed_over(gateway, record):
         next_ownership.unsettled = (
             *next_ownership.unsettled,
-            next_ownership.granter,
+            msgspec.structs.replace(
+                next_ownership.granter, vms=next_ownership.vms
+            ),
         )
     else:
         # A granter that hands over accounts for all of its predecessors.
@@ -159,46 +162,41 @@
     granter_state: granter_state_module.GranterState,
 ) -> None:
     """Wait until it is known when all grants of earlier terms have expired."""
-    earlier_vms = granter_state.recorded_vms
     while granter_state.inherited_grants_end_ms == grant_timing.UNKNOWN_END_MS:
         await asyncio.sleep(clock.to_seconds(TICK_MS))
-        granter_state.inherited_grants_end_ms = (
-            await _find_inherited_grants_end_ms(
-                granter_state,
-                earlier_vms,
-            )
+        granter_state.inherited_grants_end_ms = max(
+            await asyncio.gather(
+                *(
+                    _find_grants_end_ms(granter_state, predecessor)
+                    for predecessor in granter_state.ownership.unsettled
+                ),
+            ),
         )
     if granter_state.ownership.unsettled:
         granter_state.ownership.unsettled = ()
         granter_state_module.publish(granter_state, write_at_once=False)
 
 
-async def _find_inherited_grants_end_ms(
+async def _find_grants_end_ms(
     granter_state: granter_state_module.GranterState,
-    earlier_vms: tuple[str, ...],
+    predecessor: ownership_module.Granter,
 ) -> int:
-    """Return the time by which all grants of earlier terms have expired.
+    """Return the time by which all grants of an earlier granter have expired.
 
-    The time is `UNKNOWN_END_MS` until each earlier granter has stopped or half
-    of the earlier term's VMs follow this term.
+    The time is `UNKNOWN_END_MS` until that granter has stopped or half of its
+    term's VMs follow this term.
     """
     gateway = granter_state.gateway
-    if _is_followed_by_half(granter_state, earlier_vms):
+    if _is_followed_by_half(granter_state, predecessor.vms):
         return grant_timing.bound_end_after_succession_ms(
             gateway.now_ms(),
-            _bound_hold_ms(granter_state, earlier_vms),
+            _bound_hold_ms(granter_state, predecessor.vms),
         )
-    stopped = await asyncio.gather(
-        *(
-            _has_predecessor_stopped(gateway, predecessor)
-            for predecessor in granter_state.ownership.unsettled
-        ),
-    )
-    if not all(stopped):
+    if not await _has_predecessor_stopped(gateway, predecessor):
         return grant_timing.UNKNOWN_END_MS
     return grant_timing.bound_end_after_stop_ms(
         gateway.now_ms(),
-        _bound_hold_ms(granter_state, earlier_vms),
+        _bound_hold_ms(granter_state, predecessor.vms),
     )
 
 
@@ -230,7 +228,7 @@
     granter_state: granter_state_module.GranterState,
     earlier_vms: tuple[str, ...],
 ) -> int:
-    """Return the longest hold that earlier granters may have granted.
+    """Return the longest hold that the earlier term may have granted.
 
     A granter grants long holds only if a majority of VMs reported a store
     outage to it. Any half that follows this term overlaps with that majority,
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -10,7 +10,7 @@
 from lentilgauge.contracts import grant_timing, ownership
 from lentilgauge.links import http_server, peer_link
 from lentilgauge.services import key_ranges
-from lentilgauge.vms import granter_state
+from lentilgauge.vms import granter_state, key_assignment
 from tests import (
     gateway_fixtures,
     granting_model,
@@ -88,6 +88,38 @@
         virtual_time.run_and_close(loop, cut_one_vm_off())
         self.assertEqual(model.violations, [])
 
+    def test_a_second_successor_counts_followers_of_the_first_term(
+        self,
+    ) -> None:
+        """Guard against a granter that outlasts its successor.
+
+        Its successor's record no longer names the VMs that follow it.
+        """
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1, vm_count=5)
+
+        async def replace_successor() -> None:
+            await test_granting_model.start_all_vms(model)
+            granter = test_granting_model.pick_granter(model)
+            others = [vm for vm in model.vm_names if vm != granter]
+            far_vms = others[2:]
+            model.store.unreachable_for.update((granter, *others[:2]))
+            for far_vm in far_vms:
+                model.cut_links.add((far_vm, 'u1'))
+                for vm in (granter, *others[:2]):
+                    model.cut_links |= {(far_vm, vm), (vm, far_vm)}
+            await asyncio.sleep(key_assignment.VM_REMOVAL_MS / 1000 + 6)
+            granters = granting_model.find_granters(model)
+            self.assertEqual(len(granters), 2)
+            model.kill_vm(*{granter}.symmetric_difference(granters))
+            for _ in range(300):
+                await asyncio.sleep(0.1)
+                model.check_holds()
+            self.assertEqual(len(granting_model.find_granters(model)), 2)
+
+        virtual_time.run_and_close(loop, replace_successor())
+        self.assertEqual(model.violations, [])
+
     def test_a_granter_ignores_requests_to_take_over(self) -> None:
         """Guard against a takeover long after the request for it."""
         loop = virtual_time.VirtualLoop()
