Count the majority that confirms a state over all VMs, not those asked

While nobody reaches the platform, entries serve as long as a majority of the VMs confirms their state. With more than 15 peers a controller asked a random 15 and took a majority of these, so a VM that reached 19 of 40 peers, less than half of the VMs, let its entry serve on.

Cause: read_peer_changes compared the replies of one round with the peers asked in it.

Each peer's latest reply is kept now, and the state is confirmed as of the time since when a majority of all live VMs has replied. Peers asked longest ago are asked first, and a majority is asked within two rounds, however many VMs there are: with 40 peers 15 a round as before, with 300 peers 75. With up to 15 peers all are asked, and a round that a majority answers confirms as before.

--- a/src/lentilgauge/vms/controller.py
+++ b/src/lentilgauge/vms/controller.py
@@ -25,8 +25,9 @@
     of a service's slots waits for more of its upstreams.
     `majority_confirmed_ms` is when the replica was last compared with a
     majority of the VMs, this one included. `position_by_url` is how far each
-    peer's changes were read. `leaving` is set while the VM hands over its
-    upstreams.
+    peer's changes were read, `asked_ms_by_url` when each was last asked for
+    them and `replied_ms_by_url` when one was last asked that replied. `leaving`
+    is set while the VM hands over its upstreams.
     """
 
     vm: settings.VmSettings
@@ -49,6 +50,8 @@
     position_by_url: dict[str, relay_link.Position] = dataclasses.field(
         default_factory=dict,
     )
+    asked_ms_by_url: dict[str, int] = dataclasses.field(default_factory=dict)
+    replied_ms_by_url: dict[str, int] = dataclasses.field(default_factory=dict)
     stepped_down_term_by_upstream: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
