Tell other VMs of an upstream that may have restarted

Cause: only a VM that had itself failed twice to connect suspected a restart. One that had sent nothing meanwhile, as its own failure domain had room, sent the usual load until the announcement came, which a slow store delays.

Change: a follower's poll carries the upstreams that it can't reach, if its failures span 200 ms, and whether they answer again. The granter adopts that, and its own failures, and passes it on in its replies, at once if it is new. It doesn't if it or another VM had an answer within 350 ms: then a link is cut or the upstream is full, and capacity must not suffer. At rest the messages are as before; no probe, no call to the store. Rules for suspicions are in a module of their own.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -14,7 +14,7 @@
 )
 from lentilgauge.links import upstream_link
 from lentilgauge.services import key_ranges
-from lentilgauge.upstreams import upstream_load, upstream_state
+from lentilgauge.upstreams import suspicions, upstream_load, upstream_state
 from lentilgauge.vms import admission_queues
 from lentilgauge.vms import gateway as gateway_module
 
@@ -234,13 +234,14 @@
     suspect_ms = gateway_module.get_unannounced_cold_ms(
         gateway, upstream.service
     )
-    suspect_until_ms = gateway.now_ms() + suspect_ms
+    now_ms = gateway.now_ms()
     if outcome.proof is upstream_link.Proof.NOT_SENT:
-        upstream_load.record_connect_failure(
-            load, upstream.incarnation, suspect_until_ms
+        suspicions.record_connect_failure(
+            load.reachability, upstream.incarnation, now_ms, suspect_ms
         )
+        gateway.upstream_loads.suspect_ids.add(upstream.id)
     elif outcome.status:
-        upstream_load.record_response(load, suspect_until_ms)
+        suspicions.record_response(load.reachability, now_ms, suspect_ms)
 
 
 def _may_repeat(
--- a/src/lentilgauge/callers/upstream_choice.py
+++ b/src/lentilgauge/callers/upstream_choice.py
@@ -4,7 +4,7 @@
 
 from lentilgauge.callers import admission, gateway_request
 from lentilgauge.services import key_ranges, routes
-from lentilgauge.upstreams import upstream_load, upstream_state
+from lentilgauge.upstreams import suspicions, upstream_load, upstream_state
 from lentilgauge.vms import admission_queues
 from lentilgauge.vms import gateway as gateway_module
 
@@ -182,7 +182,7 @@
     """
     if upstream.cold_until_ms > now_ms:
         return True
-    return upstream_load.is_suspect(upstream, load, now_ms)
+    return suspicions.is_suspect(upstream, load.reachability, now_ms)
 
 
 def _find_least_loaded(
--- a/src/lentilgauge/links/peer_link.py
+++ b/src/lentilgauge/links/peer_link.py
@@ -118,6 +118,24 @@
     report_by_upstream: dict[str, UpstreamReport] = {}
 
 
+class SuspicionMessage(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
+    """A VM's suspicion that an incarnation of an upstream has restarted.
+
+    It ends after `remaining_ms`. While `failing` is true the VM can't reach the
+    upstream; then it has answered.
+    """
+
+    incarnation: int
+    remaining_ms: int
+    failing: bool = False
+
+
 class FollowMessage(
     msgspec.Struct,
     frozen=True,
@@ -134,6 +152,7 @@
     report, as the process before it may have sent one. The reply may be delayed
     by up to `wait_ms`. `peers_digest` is the checksum of the live peers that
     the follower knows, without the VM to which it sends the request.
+    `suspicion_by_upstream` has what the follower itself suspects.
     """
 
     peer: Peer
@@ -144,6 +163,7 @@
     peers_digest: int = 0
     outage_age_ms: int | None = None
     report: Report = Report()
+    suspicion_by_upstream: dict[str, SuspicionMessage] = {}
 
 
 class ViewMessage(
@@ -178,12 +198,14 @@
     `section_by_topic` has the topics with changes, and `news` the changes of
     ownership, if there are any. `peers` are the live peers of the replying VM,
     or `None` if the digest in the request shows that the follower knows them.
+    `suspicion_by_upstream` has what VMs suspect that the replying one knows of.
     """
 
     view: ViewMessage
     section_by_topic: dict[store_link.Topic, TopicMessage] = {}
     news: ownership.OwnershipDelta | None = None
     peers: list[Peer] | None = None
+    suspicion_by_upstream: dict[str, SuspicionMessage] = {}
 
 
 class StoreAccessMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lentilgauge/upstreams/upstream_load.py
+++ b/src/lentilgauge/upstreams/upstream_load.py
@@ -11,7 +11,7 @@
 import math
 
 from lentilgauge.links import upstream_link
-from lentilgauge.upstreams import upstream_state
+from lentilgauge.upstreams import suspicions, upstream_state
 
 #: Most requests running and queued on an upstream per unit of its concurrency:
 #: further ones would wait there for longer than callers do.
@@ -22,10 +22,6 @@
 LOAD_REPORT_TTL_MS = 150
 #: How long an upstream that couldn't be reached gets no requests.
 UNREACHABLE_SUSPEND_MS = 300
-#: An announcement reaches all VMs within this time, if the store is reachable.
-ANNOUNCEMENT_DELAY_MS = 1000
-#: Consecutive connection failures after which an upstream may have crashed.
-_SUSPECT_AFTER_FAILURES = 2
 #: How long an upstream that refused because it was full gets no requests.
 FULL_SUSPEND_MS = 40
 #: Added to the estimate for an upstream in another failure domain, as traffic
@@ -50,11 +46,9 @@
     about to be sent. `reported_load` is the load that the upstream last
     reported, at `reported_ms`, and `sent_since_report` counts the requests sent
     to it since. `mean_latency_ms` is the moving average of its execution times.
-    Until `suspended_until_ms` it gets no requests. `connect_failures` counts
-    consecutive connections that could not be made. The incarnation
-    `suspect_incarnation` may have ended, and until `suspect_until_ms` its
-    successor may be in cold start without having been announced. `cold_sent_ms`
-    has the times of recent requests sent to it in cold start.
+    Until `suspended_until_ms` it gets no requests. `reachability` tells whether
+    it may have restarted. `cold_sent_ms` has the times of recent requests sent
+    to it in cold start.
     """
 
     in_flight: int = 0
@@ -63,9 +57,9 @@
     sent_since_report: int = 0
     mean_latency_ms: float = 80
     suspended_until_ms: int = 0
-    connect_failures: int = 0
-    suspect_incarnation: int | None = None
-    suspect_until_ms: int = 0
+    reachability: suspicions.Reachability = dataclasses.field(
+        default_factory=suspicions.Reachability,
+    )
     cold_sent_ms: collections.deque[int] = dataclasses.field(
         default_factory=collections.deque,
     )
@@ -76,7 +70,8 @@
     """Load of each upstream, and the baseline latency of each route.
 
     `failure_domain` is that of this VM. A baseline is a moving average of the
-    execution times of a route's requests on all upstreams.
+    execution times of a route's requests on all upstreams. `suspect_ids` has
+    the upstreams that are suspected of a restart, and at times others.
     """
 
     failure_domain: str
@@ -86,6 +81,7 @@
     baseline_ms_by_route: dict[str, float] = dataclasses.field(
         default_factory=dict,
     )
+    suspect_ids: set[str] = dataclasses.field(default_factory=set)
 
 
 def get_load(upstream_loads: UpstreamLoads, upstream_id: str) -> UpstreamLoad:
@@ -192,50 +188,6 @@
         load.sent_since_report = 0
 
 
-def record_connect_failure(
-    load: UpstreamLoad,
-    incarnation: int,
-    suspect_until_ms: int,
-) -> None:
-    """Count a failed connection.
-
-    The second in a row makes the upstream suspect.
-    """
-    load.connect_failures += 1
-    if load.connect_failures >= _SUSPECT_AFTER_FAILURES:
-        load.suspect_incarnation = incarnation
-        load.suspect_until_ms = suspect_until_ms
-
-
-def record_response(load: UpstreamLoad, suspect_until_ms: int) -> None:
-    """Reset the failure count after an answer.
-
-    A suspect upstream that answers again may be in cold start, not yet
-    announced, until `suspect_until_ms`.
-    """
-    if load.connect_failures >= _SUSPECT_AFTER_FAILURES:
-        load.suspect_until_ms = suspect_until_ms
-    load.connect_failures = 0
-
-
-def is_suspect(
-    upstream: upstream_state.Upstream,
-    load: UpstreamLoad,
-    now_ms: int,
-) -> bool:
-    """Return whether an upstream may have restarted without being announced.
-
-    An upstream that crashed and restarts under the same id is cold and takes
-    requests before its announcement has reached all VMs, which still know its
-    previous incarnation. The suspicion ends with time alone: a VM without a
-    share of the cold rate sends no requests that could show it to be wrong.
-    """
-    return (
-        load.suspect_incarnation == upstream.incarnation
-        and now_ms < load.suspect_until_ms
-    )
-
-
 def record_execution_time(load: UpstreamLoad, took_ms: float) -> None:
     """Add an execution time, queueing included, to the mean latency."""
     load.mean_latency_ms += (took_ms - load.mean_latency_ms) * _LATENCY_WEIGHT
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -10,7 +10,7 @@
 from lentilgauge.contracts import grant_timing, ownership
 from lentilgauge.links import http_client, peer_link, store_link, upstream_link
 from lentilgauge.services import routes
-from lentilgauge.upstreams import upstream_load, upstream_state
+from lentilgauge.upstreams import suspicions, upstream_load, upstream_state
 from lentilgauge.vms import state_cache as state_cache_module
 
 #: A VM that hasn't been heard of for this long isn't counted as live.
@@ -92,6 +92,8 @@
 
     `pending_reports` are the VMs' reports that this granter hasn't applied yet.
     `replied_ms_by_vm` is when this VM last replied to each follower.
+    `suspicion_serial` counts the suspicions of restarts that are passed on, and
+    `suspicion_serial_by_vm` has its value in the last reply to each follower.
     `predecessor_term` is the term of the granter that asked this VM to take
     over, and `predecessor_hold_ms` how long its grants may still last, as of
     its request; 0 if that is unknown or no granter has asked.
@@ -153,6 +155,10 @@
         default_factory=dict
     )
     replied_ms_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
+    suspicion_serial: int = 0
+    suspicion_serial_by_vm: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     followed_term_by_vm: dict[str, FollowedTerm] = dataclasses.field(
         default_factory=dict,
     )
@@ -287,7 +293,7 @@
     found_service = _find_service(gateway, service)
     cold_ms = 0 if found_service is None else found_service.cold_start_ms
     if get_outage_report_age_ms(gateway) is None:
-        return min(cold_ms, upstream_load.ANNOUNCEMENT_DELAY_MS)
+        return min(cold_ms, suspicions.ANNOUNCEMENT_DELAY_MS)
     return cold_ms
 
 
--- a/src/lentilgauge/vms/granter_following.py
+++ b/src/lentilgauge/vms/granter_following.py
@@ -13,7 +13,12 @@
 from lentilgauge.links import http_client, peer_link, store_link
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granter_state as granter_state_module
-from lentilgauge.vms import granter_term, peer_views, store_watch
+from lentilgauge.vms import (
+    granter_term,
+    peer_views,
+    store_watch,
+    suspicion_sharing,
+)
 from lentilgauge.vms import state_cache as state_cache_module
 
 #: How long a long poll waits for changes; each poll carries a
@@ -107,6 +112,7 @@
         peers_digest=_digest_other_peers(gateway, address),
         outage_age_ms=gateway_module.get_outage_report_age_ms(gateway),
         report=gateway_module.collect_report(gateway),
+        suspicion_by_upstream=suspicion_sharing.pack_own(gateway),
     )
     reply_outcome = await peer_link.call_peer(
         gateway.client,
@@ -146,6 +152,7 @@
         )
     if reply.news is not None:
         state_cache_module.apply_ownership_delta(state_cache, reply.news)
+    suspicion_sharing.adopt_shared(gateway, reply.suspicion_by_upstream)
     # Counted from the request, so that the wait for changes can't make the
     # state look newer than it is.
     state_cache.granter_heard_ms = max(
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -10,6 +10,7 @@
 from lentilgauge.links import http_server, peer_link, store_link
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import state_cache as state_cache_module
+from lentilgauge.vms import suspicion_sharing
 
 #: Changes within this time are sent in one reply.
 BATCH_WINDOW_MS = 3
@@ -115,6 +116,7 @@
         gateway.outage_reported_ms_by_vm[message.peer.vm] = reported_ms
     if gateway.is_granter:
         gateway.pending_reports.append(message.report)
+        suspicion_sharing.apply_report(gateway, message)
     deadline_ms = gateway.now_ms() + min(message.wait_ms, _MAX_WAIT_MS)
     while not _has_updates(gateway, message):
         remaining_ms = deadline_ms - gateway.now_ms()
@@ -153,6 +155,8 @@
     current = state_cache.ownership
     if (current.term, current.serial) > (message.term, message.serial):
         return True
+    if suspicion_sharing.has_news(gateway, message.peer.vm):
+        return True
     return any(
         _is_newer(cached_topic, message, topic)
         for topic, cached_topic in state_cache.cached_by_topic.items()
@@ -189,6 +193,9 @@
         news=delta,
         peers=None if digest == message.peers_digest else peers,
         section_by_topic=pack_topics(gateway.state_cache, message),
+        suspicion_by_upstream=suspicion_sharing.pack_shared(
+            gateway, message.peer.vm
+        ),
     )
 
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -11,7 +11,7 @@
 from lentilgauge.links import (
     peer_link,
 )
-from lentilgauge.upstreams import upstream_load
+from lentilgauge.upstreams import suspicions, upstream_load
 from lentilgauge.vms import (
     gateway,
     peer_routes,
@@ -74,10 +74,13 @@
         self.gateway.state_cache.ownership.vms = ('vm',)
         load = upstream_load.get_load(self.gateway.upstream_loads, 'u0')
         cold_ms = gateway.get_unannounced_cold_ms(self.gateway, 's')
-        suspect_until_ms = self.clock.now_ms + cold_ms
         for _ in range(2):
-            upstream_load.record_connect_failure(load, 1, suspect_until_ms)
-        upstream_load.record_response(load, suspect_until_ms)
+            suspicions.record_connect_failure(
+                load.reachability, 1, self.clock.now_ms, cold_ms
+            )
+        suspicions.record_response(
+            load.reachability, self.clock.now_ms, cold_ms
+        )
 
     async def test_a_restart_in_an_outage_may_be_a_cold_start(self) -> None:
         """Guard against a full load on an upstream in cold start.
