Let no process of the soak inherit what its predecessor was sent

In both logs an upstream crashed with grants under way (answer "silent" 3 and 11 ms after its end), and 0.2 to 0.3 s later a process with another id rejected the releases as "replaced", so the granter gave the keys away, as it may. That process held keys that it can't have been granted, as it rejects orders for its predecessor. That it got them this way is inferred from the logs.

Cause: the stand-in keeps its connections when it starts anew, and then reads what had arrived for the process before, under whose id it still is. No real process can.

Change: a restart closes all connections, accepted or waiting, and listens anew. The test sends a grant right before a restart, on both kinds; before, the next process held the keys. The checker is unchanged.

--- a/src/lentilgauge/standins/gateway_upstream.py
+++ b/src/lentilgauge/standins/gateway_upstream.py
@@ -136,7 +136,7 @@
     def restart(self, cold_seconds: float = 0) -> None:
         """Start a new incarnation under the same id, without holds or tokens.
 
-        Requests in progress are cancelled.
+        Connections of the one before are closed.
         """
         self.incarnation_ms = max(
             time.time_ns() // clock.NS_PER_MS,
@@ -144,8 +144,7 @@
         )
         self.cold_until_seconds = time.monotonic() + cold_seconds
         self.hold_table = key_holds.HoldTable()
-        for task in tuple(self.tasks):
-            task.cancel()
+        self.end_process()
 
     def holds_key(self, key: int) -> bool:
         """Return whether an unexpired hold covers a key."""
--- a/src/lentilgauge/standins/standin_server.py
+++ b/src/lentilgauge/standins/standin_server.py
@@ -9,7 +9,7 @@
 import weakref
 from collections.abc import Mapping
 
-from tornado import httpserver, httputil, netutil
+from tornado import httpserver, httputil, iostream, netutil
 
 _HOST = '127.0.0.1'
 _FIRST_PORT = 12_000
@@ -51,6 +51,22 @@
         stream.close()
 
 
+class _ConnectionServer(httpserver.HTTPServer):
+    """HTTP server that knows its connections, in `streams`."""
+
+    def initialize(self, *positional: object, **named: object) -> None:
+        """Start without connections."""
+        super().initialize(*positional, **named)  # type: ignore[arg-type]
+        self.streams: weakref.WeakSet[iostream.IOStream] = weakref.WeakSet()
+
+    def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[object, ...]
+    ) -> None:
+        """Serve a connection that was accepted."""
+        self.streams.add(stream)
+        super().handle_stream(stream, address)
+
+
 class StandInServer:
     """HTTP server on a port of its own; subclasses implement `answer`."""
 
@@ -58,7 +74,7 @@
         """Bind a free port and listen on it."""
         sockets = netutil.bind_sockets(0, _HOST)
         self.port: int = sockets[0].getsockname()[1]
-        self.server = httpserver.HTTPServer(self._receive)
+        self.server = _ConnectionServer(self._receive)
         self.server.add_sockets(sockets)
         self.tasks: set[asyncio.Task[None]] = set()
         self.duplicate_by_stream: weakref.WeakKeyDictionary[object, bytes] = (
@@ -70,6 +86,20 @@
         """Host and port that it listens on."""
         return f'{_HOST}:{self.port}'
 
+    def end_process(self) -> None:
+        """Act as the end of a process, with another listening at once.
+
+        Running requests are cancelled. Connections are closed, accepted or not,
+        with whatever was sent on them and hasn't been read.
+        """
+        self.server.stop()
+        for task in tuple(self.tasks):
+            task.cancel()
+        for stream in tuple(self.server.streams):
+            stream.close()
+        self.server = _ConnectionServer(self._receive)
+        self.server.add_sockets(netutil.bind_sockets(self.port, _HOST))
+
     async def answer(
         self,
         request: httputil.HTTPServerRequest,
--- a/tests/test_soak_upstream.py
+++ b/tests/test_soak_upstream.py
@@ -1,6 +1,7 @@
 """Tests of faults that the soak's stand-in upstream shows."""
 
 import asyncio
+import socket
 import unittest
 
 from returns import result
@@ -12,6 +13,8 @@
 
 #: Longer than the delay after which a late grant is carried out.
 _LATE_GRANT_SECONDS = 1.2
+#: In this time a connection is accepted and what it sent is read.
+_SETTLING_SECONDS = 0.1
 
 
 class SoakUpstreamTest(unittest.IsolatedAsyncioTestCase):
@@ -60,6 +63,26 @@
             timeout_ms,
         )
 
+    async def test_an_order_to_an_ended_process_is_lost(self) -> None:
+        """Guard against a grant that an ended process leaves to the next.
+
+        Its bytes had arrived, on a connection accepted or not.
+        """
+        body = b'{"startKey":1,"target":2,"fence":3,"hold_time":"9000ms"}'
+        head = (
+            'POST /grant HTTP/1.1\r\nHost: u0\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        for accepted in (True, False):
+            with socket.socket() as connection:
+                connection.connect(('127.0.0.1', self.upstream.port))
+                if accepted:
+                    await asyncio.sleep(_SETTLING_SECONDS)
+                connection.sendall(head.encode() + body)
+                self.upstream.restart()
+                await asyncio.sleep(_SETTLING_SECONDS)
+            self.assertFalse(self.upstream.holds_key(1))
+
     async def test_a_refusal_is_repeated_late(self) -> None:
         """The next request on the connection gets the earlier refusal."""
         self.upstream.faults.refuses_requests = True
