Refuse durations that are infinite, negative or too long

A configuration with a duration such as infms raised OverflowError in the gateway instead of being skipped; in the task that follows the store, that ends the process. Such a settings file raised on reading, too. Negative durations and ones beyond what curl takes were accepted, and a refused one was reported without its field.

Cause: float() accepts infinity, and only ValueError was expected of round().

Durations of settings and configurations are now decoded by msgspec's hook, so the error names the field's path and what was expected. An announcement's remaining cold start may be negative, as it may just have ended, but must be finite.

--- a/src/lentilgauge/platform/objects.py
+++ b/src/lentilgauge/platform/objects.py
@@ -26,9 +26,9 @@
     path_prefix: str
     #: A `safe` request may be executed repeatedly, any other at most once.
     kind: str
-    timeout: str
+    timeout: durations.Duration
     #: Response time up to which a reply has its full value to the caller.
-    target_latency: str = '1s'
+    target_latency: durations.Duration = durations.Duration('1s')
     #: 0 is the most urgent.
     priority: int = 0
     #: Maximum number of upstreams to which one request is sent.
@@ -47,7 +47,7 @@
     #: Requests per second that an upstream can serve during its cold start.
     cold_per_s: float = 0
     #: Duration of an upstream's cold start.
-    cold: str = '0ms'
+    cold: durations.Duration = durations.Duration('0ms')
     #: Whether each key is owned exclusively by one upstream.
     sharding: bool = False
 
@@ -57,8 +57,8 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 67_108_864
-    header_timeout: str = '3s'
-    idle_timeout: str = '15s'
+    header_timeout: durations.Duration = durations.Duration('3s')
+    idle_timeout: durations.Duration = durations.Duration('15s')
 
 
 class ConfigurationMessage(
@@ -92,7 +92,10 @@
 def read_configuration(body: object) -> routes.Configuration | None:
     """Decode a configuration; return `None` if it is invalid."""
     try:
-        return _make_configuration(msgspec.convert(body, ConfigurationMessage))
+        message = msgspec.convert(
+            body, ConfigurationMessage, dec_hook=durations.decode_field
+        )
+        return _make_configuration(message)
     except (msgspec.ValidationError, ValueError) as error:
         events.log_event(events.Event.OBJECT_UNREADABLE, fault=str(error))
         return None
@@ -108,7 +111,7 @@
             health_path=service.health_path,
             max_connections=service.max_conns,
             cold_start_requests_per_second=service.cold_per_s,
-            cold_start_ms=durations.parse_duration_ms(service.cold),
+            cold_start_ms=service.cold.ms,
         )
         for service in message.services
     }
@@ -124,12 +127,8 @@
             (route.host, route.prefix): route for route in configured_routes
         },
         service_by_name=service_by_name,
-        idle_timeout_ms=durations.parse_duration_ms(
-            message.limits.idle_timeout
-        ),
-        header_timeout_ms=durations.parse_duration_ms(
-            message.limits.header_timeout
-        ),
+        idle_timeout_ms=message.limits.idle_timeout.ms,
+        header_timeout_ms=message.limits.header_timeout.ms,
         max_body_bytes=message.limits.max_body_bytes,
         max_header_bytes=message.limits.max_header_bytes,
     )
@@ -156,8 +155,8 @@
         host=message.host,
         prefix=message.path_prefix,
         idempotent=message.kind == _SAFE_KIND,
-        timeout_ms=durations.parse_duration_ms(message.timeout),
-        target_ms=durations.parse_duration_ms(message.target_latency),
+        timeout_ms=message.timeout.ms,
+        target_ms=message.target_latency.ms,
         rank=message.priority,
         max_attempts=message.max_attempts,
         weighted_services=weighted_services,
@@ -188,7 +187,7 @@
     now_ms: int,
 ) -> upstream_state.Upstream:
     message = msgspec.convert(document.body, UpstreamMessage)
-    cold_ms = durations.parse_duration_ms(message.cold_left)
+    cold_ms = durations.parse_remaining_ms(message.cold_left)
     return upstream_state.Upstream(
         id=document.name,
         service=message.service,
--- a/src/lentilgauge/platform/settings.py
+++ b/src/lentilgauge/platform/settings.py
@@ -25,26 +25,26 @@
 class FileBounds(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
     """Limits on the process, as far as the product uses them.
 
-    Durations are strings such as `1500ms`.
+    In the file, durations are strings such as `1500ms`.
     """
 
     #: Longest time for which a range of keys may be granted.
-    hold_max: str = '10000ms'
+    hold_max: durations.Duration = durations.Duration('10s')
     #: Bounds on the rate of requests to a cold upstream from all VMs: a factor
     #: on its configured rate, and an addition to it in requests per second.
     cold_burst_factor: float = 1.5
     cold_slack: float = 5
     #: Retries per window, as a ratio of the requests.
     retry_budget_ratio: float = 0.2
-    budget_window: str = '10s'
+    budget_window: durations.Duration = durations.Duration('10s')
     #: Further retries per window, whatever the number of requests.
     budget_extra: float = 0
     #: Times allowed for moving the keys off a draining upstream, and out of an
     #: evacuated failure domain.
-    drain: str = '2000ms'
-    evacuate: str = '5000ms'
+    drain: durations.Duration = durations.Duration('2s')
+    evacuate: durations.Duration = durations.Duration('5s')
     #: Time allowed for stopping the process.
-    grace: str = '6s'
+    grace: durations.Duration = durations.Duration('6s')
 
 
 class Provider(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -85,8 +85,14 @@
 def read_settings(path: pathlib.Path) -> SettingsResult:
     """Read the settings file; a failure names file, field and error."""
     try:
-        return result.Success(_decode(path.read_bytes()))
-    except (OSError, msgspec.MsgspecError, ValueError) as error:
+        return result.Success(
+            msgspec.json.decode(
+                path.read_bytes(),
+                type=SettingsFile,
+                dec_hook=durations.decode_field,
+            ),
+        )
+    except (OSError, msgspec.MsgspecError, RecursionError) as error:
         return result.Failure(
             errors.Failure(
                 kind=errors.ErrorKind.BAD_SETTINGS,
@@ -95,13 +101,6 @@
         )
 
 
-def _decode(encoded: bytes) -> SettingsFile:
-    decoded_file = msgspec.json.decode(encoded, type=SettingsFile)
-    # A malformed duration makes the whole file invalid.
-    make_bounds(decoded_file)
-    return decoded_file
-
-
 def describe_identity(settings_file: SettingsFile) -> dict[str, str]:
     """Return the settings that can't change while the process runs."""
     listen = settings_file.listen
@@ -118,13 +117,13 @@
     """Convert the limits to the gateway's bounds, in milliseconds."""
     file_bounds = settings_file.bounds
     return gateway.Bounds(
-        max_hold_ms=durations.parse_duration_ms(file_bounds.hold_max),
+        max_hold_ms=file_bounds.hold_max.ms,
         cold_burst_factor=file_bounds.cold_burst_factor,
         cold_slack=file_bounds.cold_slack,
         retry_ratio=file_bounds.retry_budget_ratio,
-        retry_window_ms=durations.parse_duration_ms(file_bounds.budget_window),
+        retry_window_ms=file_bounds.budget_window.ms,
         retry_extra=file_bounds.budget_extra,
-        drain_ms=durations.parse_duration_ms(file_bounds.drain),
-        evacuate_ms=durations.parse_duration_ms(file_bounds.evacuate),
-        stop_grace_ms=durations.parse_duration_ms(file_bounds.grace),
+        drain_ms=file_bounds.drain.ms,
+        evacuate_ms=file_bounds.evacuate.ms,
+        stop_grace_ms=file_bounds.grace.ms,
     )
--- /dev/null
+++ b/tests/test_border_values.py
@@ -0,0 +1,123 @@
+"""Tests of values from outside that are no numbers, times or names."""
+
+import copy
+import json
+import pathlib
+import tempfile
+import unittest
+from unittest import mock
+
+from lentilgauge import events
+from lentilgauge.links import store_link
+from lentilgauge.platform import durations, objects, settings
+from lentilgauge.standins import gateway_documents
+
+_BAD_DURATIONS = (
+    'infms',
+    '-infs',
+    'nans',
+    '1e999ms',
+    '-1ms',
+    '-0.5s',
+    '1e300s',
+    f'{"9" * 5000}ms',
+    '2147483648ms',
+    'soon',
+    '5',
+    7,
+    None,
+)
+
+
+def make_settings(**bounds: object) -> dict[str, object]:
+    """Make the content of a settings file with some bounds."""
+    return {
+        'node': 'vm-1',
+        'zone': 'z1',
+        'listen': {
+            'front': '127.0.0.1:1',
+            'ready': '127.0.0.1:2',
+            'control': '127.0.0.1:3',
+        },
+        'provider': {'address': '127.0.0.1:4'},
+        'bounds': bounds,
+    }
+
+
+class DurationsTest(unittest.TestCase):
+    """Durations that can't be used are refused with their place."""
+
+    def read_settings(self, **bounds: object) -> settings.SettingsResult:
+        """Read a settings file with some bounds."""
+        with tempfile.TemporaryDirectory() as folder:
+            self.path = pathlib.Path(folder) / 'settings.json'
+            self.path.write_text(json.dumps(make_settings(**bounds)))
+            return settings.read_settings(self.path)
+
+    def test_bad_durations_in_settings_are_refused(self) -> None:
+        """Guard against an exception that ends the process."""
+        for duration in _BAD_DURATIONS:
+            for option in (
+                'holdMax',
+                'budgetWindow',
+                'drain',
+                'evacuate',
+                'grace',
+            ):
+                detail = self.read_settings(**{option: duration}).failure()
+                self.assertIn(str(self.path), detail.detail)
+                self.assertIn(f'bounds.{option}', detail.detail)
+                self.assertIn('expected a duration', detail.detail)
+
+    def test_usable_durations_in_settings_are_taken(self) -> None:
+        loaded = self.read_settings(holdMax='2.5s', drain='0ms').unwrap()
+        bounds = settings.make_bounds(loaded)
+        self.assertEqual(
+            (bounds.max_hold_ms, bounds.drain_ms, bounds.evacuate_ms),
+            (2500, 0, 5000),
+        )
+
+    def test_bad_durations_in_a_configuration_are_refused(self) -> None:
+        """Guard against an object of the store that ends the process."""
+        valid = gateway_documents.make_configuration(7)
+        for duration in _BAD_DURATIONS:
+            for part, field in (
+                ('routes', 'timeout'),
+                ('routes', 'targetLatency'),
+                ('services', 'cold'),
+                ('limits', 'idleTimeout'),
+                ('limits', 'headerTimeout'),
+            ):
+                body: dict[str, object] = copy.deepcopy(valid)
+                body.setdefault(part, {})
+                fields = body[part]
+                first = fields[0] if isinstance(fields, list) else fields
+                assert isinstance(first, dict)
+                first[field] = duration
+                with mock.patch.object(events, 'log_event') as log_event:
+                    self.assertIsNone(objects.read_configuration(body))
+                fault = log_event.call_args.kwargs['fault']
+                self.assertRegex(fault, rf'{part}.*\.{field}`')
+                self.assertIn('expected a duration', fault)
+
+    def test_an_endless_cold_start_is_refused(self) -> None:
+        announcement = {
+            'service': 's',
+            'address': '10.0.0.1:80',
+            'zone': 'z1',
+            'slots': 2,
+            'state': 'ready',
+            'coldLeft': 'infms',
+        }
+        document = store_link.Document(name='u1', revision=5, body=announcement)
+        self.assertIsNone(objects.read_upstream(document, 1000))
+        # A cold start that is over may be reported as less than nothing.
+        announcement['coldLeft'] = '-3ms'
+        parsed = objects.read_upstream(document, 1000)
+        assert parsed is not None
+        self.assertEqual(parsed.cold_until_ms, 0)
+
+    def test_durations_are_never_negative(self) -> None:
+        self.assertEqual(durations.parse_duration_ms('0s'), 0)
+        with self.assertRaises(ValueError):
+            durations.parse_duration_ms('-1ms')
