Pass over a load header whose numbers aren't decimal digits

An upstream's load header with a character such as U+00B2 raised ValueError in the gateway, so the caller of a request that had been executed got 500. So did a number of thousands of digits, which int() refuses.

Cause: str.isdigit() is true for characters that int() doesn't take, and no length was bounded.

A load field is now one to nine ASCII digits; anything else makes the header count as missing. The new test raised ValueError at its first case before.

--- a/src/lentilgauge/platform/upstream_adapter.py
+++ b/src/lentilgauge/platform/upstream_adapter.py
@@ -1,6 +1,7 @@
 """Adapter for the protocol between the platform and its upstreams."""
 
 import http
+import re
 
 import msgspec
 from returns import result
@@ -25,6 +26,8 @@
 #: The fields of `headers.LOAD` but for the execution time, which is optional.
 _REQUIRED_LOAD_FIELDS = 3
 _USUAL_PERCENT = 100
+#: Bounded, as Python refuses to convert thousands of digits.
+_LOAD_NUMBER = re.compile(r'[0-9]{1,9}')
 
 
 class OrderMessage(
@@ -149,11 +152,11 @@
     """Parse the load that an upstream reports; `None` if missing or invalid."""
     text = reply_headers.get(headers.LOAD, '')
     load_fields = [load_field.strip() for load_field in text.split(',')]
-    if not all(load_field.isdigit() for load_field in load_fields):
+    if len(load_fields) < _REQUIRED_LOAD_FIELDS:
         return None
-    numbers = [int(load_field) for load_field in load_fields]
-    if len(numbers) < _REQUIRED_LOAD_FIELDS:
+    if not all(_LOAD_NUMBER.fullmatch(field) for field in load_fields):
         return None
+    numbers = [int(load_field) for load_field in load_fields]
     percent = (*numbers, _USUAL_PERCENT)[_REQUIRED_LOAD_FIELDS]
     running, waiting, concurrency = numbers[:_REQUIRED_LOAD_FIELDS]
     return upstream_link.Load(
--- a/tests/test_border_values.py
+++ b/tests/test_border_values.py
@@ -7,9 +7,17 @@
 import unittest
 from unittest import mock
 
+from tornado import httputil
+
 from lentilgauge import events
 from lentilgauge.links import store_link
-from lentilgauge.platform import durations, objects, settings
+from lentilgauge.platform import (
+    durations,
+    headers,
+    objects,
+    settings,
+    upstream_adapter,
+)
 from lentilgauge.standins import gateway_documents
 
 _BAD_DURATIONS = (
@@ -121,3 +129,26 @@
         self.assertEqual(durations.parse_duration_ms('0s'), 0)
         with self.assertRaises(ValueError):
             durations.parse_duration_ms('-1ms')
+
+
+class HeadersTest(unittest.TestCase):
+    """Headers whose numbers can't be used are passed over."""
+
+    def test_an_unusable_load_never_raises(self) -> None:
+        """Guard against an error to the caller of an executed request."""
+        for field in (
+            '\u00b2',
+            '\u0662',
+            '9' * 5000,
+            '-1',
+            '+1',
+            '1_0',
+            'nan',
+            'inf',
+            '1e3',
+            '',
+        ):
+            for text in (f'{field},2,8', f'1,2,{field}', f'1,2,8,{field}'):
+                reply_headers = httputil.HTTPHeaders({headers.LOAD: text})
+                load = upstream_adapter.parse_load(reply_headers)
+                self.assertIsNone(load, text[:20])
