Send text that isn't ASCII as it was received

A caller whose header or target had a byte above 127 got 500 with an unknown outcome, though nothing had been sent. An announced address with a NUL or a character outside ASCII raised in whatever job called it; a key order to such an upstream would have ended the granter's task and the process.

Cause: pycurl takes text in ASCII only and raises while a handle is set up.

Text now goes to curl in Latin-1, as the HTTP library decodes what it receives, else in UTF-8, which also makes the check of an answer's request id compare the bytes received. What curl still refuses ends the call before anything is sent, as a connection that failed.

--- a/src/lentilgauge/links/curl_transfers.py
+++ b/src/lentilgauge/links/curl_transfers.py
@@ -52,6 +52,14 @@
     buffered_bytes: int = 0
 
 
+def encode_text(text: str) -> bytes:
+    """Encode header text as it was received; other text as UTF-8."""
+    try:
+        return text.encode('latin-1')
+    except UnicodeEncodeError:
+        return text.encode('utf-8')
+
+
 def make_driver() -> TransferDriver:
     """Create a driver for transfers on the running loop."""
     multi = pycurl.CurlMulti()
@@ -140,13 +148,21 @@
 async def run_transfer(
     transfer_driver: TransferDriver, set_up_handle: HandleSetup
 ) -> TransferEnd:
-    """Run one transfer; cancellation closes its connection."""
+    """Run one transfer; cancellation closes its connection.
+
+    A transfer with text that curl doesn't take, such as a NUL in an address,
+    ends before anything is sent.
+    """
     curl = (
         transfer_driver.idle_handles.pop()
         if transfer_driver.idle_handles
         else pycurl.Curl()
     )
-    set_up_handle(curl)
+    try:
+        set_up_handle(curl)
+    except (ValueError, pycurl.error):
+        _recycle_handle(transfer_driver, curl)
+        return TransferEnd(code=pycurl.E_URL_MALFORMAT, status=0)
     end_future: asyncio.Future[TransferEnd] = (
         asyncio.get_running_loop().create_future()
     )
--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -179,7 +179,7 @@
     name, _, received_value = line.partition(b':')
     return (
         name.lower() == expected_name.lower().encode()
-        and received_value.strip() != expected_value.encode()
+        and received_value.strip() != curl_transfers.encode_text(expected_value)
     )
 
 
@@ -232,7 +232,7 @@
     return buffer_chunk
 
 
-def _list_header_lines(call: Call) -> list[str]:
+def _list_header_lines(call: Call) -> list[bytes]:
     """List the call's header lines, without the headers that curl adds.
 
     A line that ends after the colon makes curl omit that default header.
@@ -242,7 +242,7 @@
     request_lines.extend(
         f'{name}:' for name in _CURL_DEFAULT_HEADERS if name not in headers
     )
-    return request_lines
+    return [curl_transfers.encode_text(line) for line in request_lines]
 
 
 def _set_body(curl: pycurl.Curl, call: Call) -> None:
@@ -256,11 +256,13 @@
 
 
 def _set_address(curl: pycurl.Curl, call: Call) -> None:
-    curl.setopt(pycurl.URL, call.url)
+    curl.setopt(pycurl.URL, curl_transfers.encode_text(call.url))
     curl.setopt(pycurl.PROXY, '')
     curl.setopt(pycurl.PATH_AS_IS, 1)
     if call.target:
-        curl.setopt(pycurl.REQUEST_TARGET, call.target)
+        curl.setopt(
+            pycurl.REQUEST_TARGET, curl_transfers.encode_text(call.target)
+        )
 
 
 def _set_connection_options(curl: pycurl.Curl, call: Call) -> None:
--- a/tests/test_border_values.py
+++ b/tests/test_border_values.py
@@ -1,5 +1,6 @@
 """Tests of values from outside that are no numbers, times or names."""
 
+import asyncio
 import copy
 import json
 import pathlib
@@ -10,7 +11,7 @@
 from tornado import httputil
 
 from lentilgauge import events
-from lentilgauge.links import store_link
+from lentilgauge.links import http_client, store_link
 from lentilgauge.platform import (
     durations,
     headers,
@@ -152,3 +153,62 @@
                 reply_headers = httputil.HTTPHeaders({headers.LOAD: text})
                 load = upstream_adapter.parse_load(reply_headers)
                 self.assertIsNone(load, text[:20])
+
+
+class RawHeadServer:
+    """Server that keeps each request's head and answers under one id."""
+
+    def __init__(self) -> None:
+        """Start with no requests."""
+        self.heads: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request and close the connection."""
+        self.heads.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nX-Lentilgauge-Request-Id: \xe9\r\n'
+            b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+        )
+        await writer.drain()
+        writer.close()
+
+
+class SentTextTest(unittest.IsolatedAsyncioTestCase):
+    """Text that isn't ASCII is sent as it was received, or fails typed."""
+
+    async def test_bytes_of_a_request_are_forwarded_unchanged(self) -> None:
+        """Guard against 500 for a request with a header in Latin-1."""
+        raw_server = RawHeadServer()
+        server = await asyncio.start_server(raw_server.serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        call_result = await http_client.send_call(
+            http_client.make_client(),
+            http_client.Call(
+                method='GET',
+                url=f'http://127.0.0.1:{port}',
+                target='/caf\xe9',
+                timeout_ms=5000,
+                headers=httputil.HTTPHeaders({'X-Other': 'caf\xe9'}),
+                expected_reply_header=(headers.REQUEST_ID, '\xe9'),
+            ),
+        )
+        server.close()
+        await server.wait_closed()
+        self.assertEqual(call_result.unwrap().status, 200)
+        self.assertIn(b'GET /caf\xe9 HTTP/1.1\r\n', raw_server.heads[0])
+        self.assertIn(b'X-Other: caf\xe9\r\n', raw_server.heads[0])
+
+    async def test_an_address_that_cannot_be_used_fails_typed(self) -> None:
+        """Guard against an announcement whose address ends the process."""
+        for address in ('a\0b:1', '\u2192 :1', '127.0.0.1:99999', ''):
+            call_result = await http_client.send_call(
+                http_client.make_client(),
+                http_client.Call(
+                    method='GET', url=f'http://{address}/x', timeout_ms=5000
+                ),
+            )
+            self.assertEqual(
+                call_result.failure(), http_client.LinkFailure.NOT_CONNECTED
+            )
