Wait for unsettled granters that a record names without their VMs

After an upgrade, a record of the version before names unsettled granters without VMs. Half of no VMs counted as followed at once, so a successor no longer waited for such a granter, which may still renew its grants.

Evidence: the new test has a record that names a granter which nobody reaches; the successor took it for settled within 5 s. The VMs of the record itself are now taken for those of such a granter, as the version before did. The tests of successions pass.

--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -108,11 +108,15 @@
     next_ownership = ownership_module.make_ownership(record)
     had_granter = bool(next_ownership.term)
     if had_granter and not granter_handover.was_handed_over(gateway, record):
-        next_ownership.unsettled = (
-            *next_ownership.unsettled,
+        next_ownership.unsettled = tuple(
+            # Records of earlier versions name no VMs with these granters.
             msgspec.structs.replace(
-                next_ownership.granter, vms=next_ownership.vms
-            ),
+                predecessor, vms=predecessor.vms or next_ownership.vms
+            )
+            for predecessor in (
+                *next_ownership.unsettled,
+                next_ownership.granter,
+            )
         )
     else:
         # A granter that hands over accounts for all of its predecessors.
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -8,7 +8,7 @@
 from tornado import httputil
 
 from lentilgauge.contracts import grant_timing, ownership
-from lentilgauge.links import http_server, peer_link
+from lentilgauge.links import http_server, peer_link, store_link
 from lentilgauge.services import key_ranges
 from lentilgauge.vms import granter_state, key_assignment
 from tests import (
@@ -120,6 +120,36 @@
         virtual_time.run_and_close(loop, replace_successor())
         self.assertEqual(model.violations, [])
 
+    def test_an_unsettled_granter_of_unknown_vms_is_waited_for(self) -> None:
+        """Guard against a record of a version that kept no VMs with it."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+        unsettled = ownership.Granter(vm='g', address='g', incarnation='g/1')
+        model.store.document = store_link.Document(
+            name='ownership',
+            revision=1,
+            body=ownership.Record(
+                term=5,
+                granter=ownership.Granter(
+                    vm='vm0', address='vm0', incarnation='earlier'
+                ),
+                vms=('g', 'h', 'vm0', 'vm1'),
+                unsettled=(unsettled,),
+            ),
+        )
+
+        async def take_over() -> None:
+            model.start_vm('vm0')
+            await asyncio.sleep(5)
+            state_cache = model.vm_by_name['vm0'].gateway.state_cache
+            self.assertEqual(state_cache.ownership.term, 6)
+            waited_for = {
+                granter.vm for granter in state_cache.ownership.unsettled
+            }
+            self.assertIn(unsettled.vm, waited_for)
+
+        virtual_time.run_and_close(loop, take_over())
+
     def test_a_granter_ignores_requests_to_take_over(self) -> None:
         """Guard against a takeover long after the request for it."""
         loop = virtual_time.VirtualLoop()
