Give an upstream that is in reach again keys within seconds

What callers saw: an upstream that the granter could not reach for some seconds, and that did not restart, was left idle for the rest of the term.

Cause: after failed orders an upstream is unresponsive and loses its ranges. Without ranges it gets no order, and only an answered grant ended its streak of failures.

Now the granter checks an unresponsive upstream that holds and may hold nothing: it sends a release of one key of another holder, under the token of that key's last release. A release is never refused, and it gives nothing away. The checks come 0.5 s after the loss at the earliest, then after 1 s, then every 2 s: no key waits for them, only capacity. An upstream that is lost again within 30 s of its return waits twice as long, up to 16 s, since each loss leaves keys unserved for up to a hold. Deadlines are stored. No check is sent while no upstream is unresponsive. No bound on a hold depends on a check or its answer.

--- a/src/lentilgauge/events.py
+++ b/src/lentilgauge/events.py
@@ -29,6 +29,7 @@
     UPSTREAM_GONE = 'upstream_gone'
     UPSTREAMS_MISSING = 'upstreams_missing'
     UPSTREAM_SILENT = 'upstream_silent'
+    UPSTREAM_RETURNED = 'upstream_returned'
     ADDRESS_REUSED = 'address_reused'
     ORDER_REFUSED = 'order_refused'
     GRANTER_STARTED = 'granter_started'
--- a/src/lentilgauge/operators/explain.py
+++ b/src/lentilgauge/operators/explain.py
@@ -24,7 +24,12 @@
     ),
 )
 _UPSTREAM_EVENTS = frozenset(
-    ('upstream_changed', 'upstream_gone', 'upstream_silent'),
+    (
+        'upstream_changed',
+        'upstream_gone',
+        'upstream_silent',
+        'upstream_returned',
+    ),
 )
 _KEY_EVENTS = frozenset(('keys_moved', 'keys_served'))
 
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from lentilgauge import events
-from lentilgauge.contracts import grant_timing
+from lentilgauge.contracts import grant_timing, upstream_absence
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import peer_link, store_link
 from lentilgauge.services import key_load
@@ -63,6 +63,10 @@
 
     `grant_accepted_ms_by_upstream` is when each upstream last accepted a grant.
 
+    `absence_by_upstream` has the latest absence of each upstream that was
+    unresponsive, and `check_task_by_upstream` the checks in progress of those
+    that are.
+
     `order_task_by_range_id` has the order in progress for each key range, by
     the `id()` of the range, since mutable ranges can't be dictionary keys.
     `seen_revisions` are the latest revisions of the store that this granter
@@ -97,6 +101,12 @@
     grant_accepted_ms_by_upstream: dict[str, int] = dataclasses.field(
         default_factory=dict,
     )
+    absence_by_upstream: dict[str, upstream_absence.Absence] = (
+        dataclasses.field(default_factory=dict)
+    )
+    check_task_by_upstream: dict[str, asyncio.Task[None]] = dataclasses.field(
+        default_factory=dict,
+    )
     upstream_by_id: dict[str, upstream_state.Upstream] = dataclasses.field(
         default_factory=dict,
     )
@@ -259,9 +269,13 @@
         reason=reason,
         term=granter_state.ownership.term,
     )
-    for task in granter_state.order_task_by_range_id.values():
-        task.cancel()
-    granter_state.order_task_by_range_id.clear()
+    for tasks in (
+        granter_state.order_task_by_range_id,
+        granter_state.check_task_by_upstream,
+    ):
+        for task in tasks.values():
+            task.cancel()
+        tasks.clear()
     state_cache_module.notify_change(granter_state.gateway.state_cache)
 
 
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -24,6 +24,7 @@
     key_orders,
     record_writer,
     store_watch,
+    upstream_checks,
 )
 from lentilgauge.vms import granter_state as granter_state_module
 from lentilgauge.vms import state_cache as state_cache_module
@@ -325,6 +326,7 @@
     if store_watch.has_loaded_all_topics(granter_state):
         key_assignment.assign_keys(granter_state)
     key_orders.start_due_orders(granter_state)
+    upstream_checks.start_due_checks(granter_state)
     _log_order_suspension(granter_state)
 
 
--- a/src/lentilgauge/vms/granter_upstreams.py
+++ b/src/lentilgauge/vms/granter_upstreams.py
@@ -20,6 +20,7 @@
         if known is None or known.incarnation != upstream.incarnation:
             _log_address_reuse(granter_state, upstream)
             granter_state.failure_streak_by_upstream.pop(upstream.id, None)
+            granter_state.absence_by_upstream.pop(upstream.id, None)
         granter_state.upstream_by_id[upstream.id] = upstream
 
 
--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import random
@@ -58,6 +59,7 @@
     which has ended stays for `ENTRY_EXPIRY_S`. `last_fence_by_grant` maps the
     first key, the last key and the holder's incarnation to the last fencing
     token with which that process was granted these keys.
+    `order_count_by_upstream` counts the orders sent to each address.
     `granters_at_end` is set by scenarios that check the granters at their end.
     """
 
@@ -82,6 +84,7 @@
         self.checks_expected_ids = bool(seed % 2)
         self.refuses_cut_calls = False
         self.last_incarnation = 0
+        self.order_count_by_upstream = collections.Counter[str]()
         self.entry_by_id: dict[str, store_link.Document] = {}
         self.announcement_by_incarnation: dict[
             object, upstream_state.Upstream
@@ -289,6 +292,7 @@
             answer=upstream_link.OrderAnswer.SILENT,
         )
         upstream = self.upstream_by_name[order.upstream.address]
+        self.order_count_by_upstream[upstream.name] += 1
         if (source, upstream.name) in self.cut_links or not upstream.alive:
             await asyncio.sleep(order.timeout_ms / 1000)
             return unanswered
