Move keys only once a term has read where upstreams are

A successor starts with the entries that its predecessor passed on. If it was cut off from it, they are older than what the predecessor granted by. A previous holder that had moved to another address under its id was then asked to release its keys at its former address; the process there rejected that as not meant for it, which was taken for the holder's end, and the keys were granted on while it held them.

In the test, two upstreams exchange addresses while the granter is cut off from its peers, and it is lost within a move.

Transfers now start after all topics were read in the term; renewals still start at once. The store has confirmed the term just before, so this waits for one reading. The model can start a process under any id, and an entry expires only if no later process has written it.

--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -14,7 +14,7 @@
 from lentilgauge.links import upstream_link
 from lentilgauge.services import key_ranges
 from lentilgauge.vms import granter_state as granter_state_module
-from lentilgauge.vms import record_writer
+from lentilgauge.vms import record_writer, store_watch
 
 #: Delay before a release or a grant is retried.
 _ORDER_RETRY_MS = 100
@@ -63,6 +63,10 @@
     current_ms: int,
 ) -> None:
     if not key_range.served:
+        if not store_watch.has_loaded_all_topics(granter_state):
+            # The entry of an earlier holder may be older than its last grant:
+            # another process at its former address would reject a release.
+            return
         _start_task(
             granter_state, key_range, transfer_range(granter_state, key_range)
         )
--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -102,22 +102,28 @@
         self.loop.call_later(seconds, action, *arguments)
 
     def start_upstream(
-        self, name: str, *, new_id: bool = False, announced_after: float = 0
+        self,
+        name: str,
+        *,
+        new_id: bool = False,
+        upstream_id: str = '',
+        announced_after: float = 0,
     ) -> None:
         """Start a process at an upstream's address.
 
-        It has the id of the process before it, unless `new_id` is set, and
-        announces itself after that many seconds.
+        Its id is `upstream_id`, or a new one if `new_id` is set, or else the
+        address. It announces itself after `announced_after` seconds.
         """
         self.last_incarnation += 1
-        upstream_id = f'{name}/{self.last_incarnation}' if new_id else name
+        if not upstream_id:
+            upstream_id = f'{name}/{self.last_incarnation}' if new_id else name
         upstream = granting_upstreams.ModelUpstream(
             self, name, upstream_id, self.last_incarnation
         )
         earlier = self.upstream_by_name.get(name)
-        if earlier is not None and earlier.id != upstream_id:
-            self.call_later(ENTRY_EXPIRY_S, self.remove_entry, earlier.id)
         self.upstream_by_name[name] = upstream
+        if earlier is not None and earlier.id != upstream_id:
+            self.call_later(ENTRY_EXPIRY_S, self.expire_entry, earlier)
         if announced_after:
             self.call_later(announced_after, self.announce, upstream)
         else:
@@ -143,6 +149,12 @@
                 body=upstream.incarnation,
             )
 
+    def expire_entry(self, upstream: granting_upstreams.ModelUpstream) -> None:
+        """Remove the entry of a process, unless another has replaced it."""
+        document = self.entry_by_id.get(upstream.id)
+        if document is not None and document.body == upstream.incarnation:
+            self.remove_entry(upstream.id)
+
     def remove_entry(self, upstream_id: str) -> None:
         """Remove an upstream's store entry."""
         self.store.revision += 1
--- a/tests/test_restarted_holders.py
+++ b/tests/test_restarted_holders.py
@@ -75,6 +75,38 @@
         virtual_time.run_and_close(loop, restart_and_drain())
         self.assertEqual(model.violations, [])
 
+    def test_a_successor_looks_for_holders_where_they_have_moved(self) -> None:
+        """Guard against an answer at an address that the holder has left."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def exchange_addresses() -> None:
+            await test_granting_model.start_all_vms(model)
+            granter = test_granting_model.pick_granter(model)
+            for vm in model.vm_names:
+                if vm != granter:
+                    model.cut_links |= {(granter, vm), (vm, granter)}
+                    model.store.unreachable_for.add(vm)
+            # Long polls that were sent before end first.
+            await asyncio.sleep(0.4)
+            for name in ('u1', 'u2'):
+                model.kill_upstream(name, listed=True)
+            model.start_upstream('u2', upstream_id='u1')
+            model.start_upstream('u1', upstream_id='u2')
+            await asyncio.sleep(0.5)
+            model.cut_links.add((granter, 'u2'))
+            upstream = model.upstream_by_name['u2']
+            upstream.state = upstream_state.State.DRAINING
+            model.announce(upstream)
+            await asyncio.sleep(0.2)
+            model.kill_vm(granter)
+            model.store.unreachable_for.clear()
+            await asyncio.sleep(7)
+            self.assertEqual(model.count_held_keys(), key_ranges.KEY_COUNT)
+
+        virtual_time.run_and_close(loop, exchange_addresses())
+        self.assertEqual(model.violations, [])
+
     def test_silence_before_a_restart_excludes_no_new_process(self) -> None:
         """Guard against an upstream without keys for the rest of a term."""
         loop = virtual_time.VirtualLoop()
