Have the model's VMs suppose an outage before their start

The gateway's program does so: a process that starts can't know whether its VM reported a store outage to the granter, which grants long holds by such reports. It is a test now, which has none; without the model's line it fails.

--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -240,6 +240,8 @@
             metrics=metrics.Metrics(),
             now_ms=self.now_ms,
             random=random.Random(self.random.random()),
+            # A process that starts supposes that there was an outage.
+            outage_reported_ms=self.now_ms(),
             upstream_loads=upstream_load.UpstreamLoads(failure_domain='d'),
         )
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -120,6 +120,31 @@
         virtual_time.run_and_close(loop, replace_successor())
         self.assertEqual(model.violations, [])
 
+    def test_restarted_vms_suppose_an_outage_before_their_start(self) -> None:
+        """Guard against VMs that forget by a restart that holds are long."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def restart_in_outage() -> None:
+            await test_granting_model.start_all_vms(model)
+            await asyncio.sleep(grant_timing.OUTAGE_REPORT_TTL_MS / 1000)
+            granter = test_granting_model.pick_granter(model)
+            model.store.unreachable_for.add('all')
+            await asyncio.sleep(4)
+            others = [vm for vm in model.vm_names if vm != granter]
+            for vm in others:
+                model.cut_links |= {(granter, vm), (vm, granter), (vm, 'u1')}
+            for vm in others[:2]:
+                model.kill_vm(vm)
+                model.start_vm(vm)
+            model.store.unreachable_for = {granter}
+            for _ in range(200):
+                await asyncio.sleep(0.1)
+                model.check_holds()
+
+        virtual_time.run_and_close(loop, restart_in_outage())
+        self.assertEqual(model.violations, [])
+
     def test_a_granter_ignores_requests_to_take_over(self) -> None:
         """Guard against a takeover long after the request for it."""
         loop = virtual_time.VirtualLoop()
