Keep a suspicion of the latest incarnation of an upstream

A VM that was behind and reported the incarnation before would have replaced the suspicion of the one after, which then got the usual load. The later incarnation stays. Before, the test found incarnation 1 in place of 2.

--- a/src/lentilgauge/upstreams/suspicions.py
+++ b/src/lentilgauge/upstreams/suspicions.py
@@ -125,13 +125,18 @@
     suspicion: Suspicion,
     now_ms: int,
 ) -> bool:
-    """Adopt another VM's suspicion; return whether it is new."""
+    """Adopt another VM's suspicion; return whether it is new.
+
+    It isn't adopted if a later incarnation is suspected.
+    """
     shared = reachability.shared
-    is_known = (
-        shared.incarnation == suspicion.incarnation and now_ms < shared.until_ms
-    )
-    if is_known:
+    known_incarnation = None
+    if now_ms < shared.until_ms:
+        known_incarnation = shared.incarnation
+    if known_incarnation == suspicion.incarnation:
         suspicion.until_ms = max(suspicion.until_ms, shared.until_ms)
+    elif (known_incarnation or 0) > (suspicion.incarnation or 0):
+        return False
     reachability.shared = suspicion
     reachability.extends_shared = True
-    return not is_known
+    return known_incarnation != suspicion.incarnation
--- a/tests/test_suspicion_sharing.py
+++ b/tests/test_suspicion_sharing.py
@@ -12,6 +12,7 @@
 from lentilgauge.callers import forwarding, gateway_request
 from lentilgauge.contracts import ownership
 from lentilgauge.links import http_client, peer_link, upstream_link
+from lentilgauge.upstreams import suspicions
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granter_following, peer_routes
 from tests import gateway_fixtures
@@ -208,3 +209,14 @@
         await self.run_for(1000, (0, 1))
         for vm in ('vm-0', 'vm-1'):
             self.assertEqual(len(self.upstream.answered_ms_by_vm[vm]), 100)
+
+    async def test_a_vm_that_is_behind_ends_no_suspicion(self) -> None:
+        """Guard against forgetting the next incarnation for the last."""
+        reachability = suspicions.Reachability()
+        for incarnation in (2, 1):
+            suspicions.adopt(
+                reachability,
+                suspicions.Suspicion(incarnation=incarnation, until_ms=9),
+                now_ms=0,
+            )
+        self.assertEqual(reachability.shared.incarnation, 2)
