Complete a listing past objects whose names can't be read

An object with unreadable metadata at the end of a page ended the listing: all later objects were missing, as if they had been removed, and the object was kept under an empty name.

Cause: the listing goes on after the last object's name, and an empty name was taken for the end.

It now goes on after the last name that can be read. A page without such a name fails the listing, also one that brings nothing new. Objects without a name are logged and left out, in watches too; a record or an answer to a write that can't be decoded is an unknown outcome, no longer a record of revision 0. Nesting too deep to decode counts as undecodable.

--- a/src/lentilgauge/platform/store_adapter.py
+++ b/src/lentilgauge/platform/store_adapter.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns import result
 
+from lentilgauge import events
 from lentilgauge.links import http_client, store_link
 
 #: The store usually replies within milliseconds, but can be slow at times.
@@ -34,7 +35,8 @@
         http.HTTPStatus.TOO_MANY_REQUESTS,
     ),
 )
-
+#: Deep nesting of an object exceeds the recursion limit.
+_DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 Message = TypeVar('Message')
 
@@ -180,9 +182,13 @@
         # A watch from the revision of the first page also reports the changes
         # made while the later pages were read.
         listing_revision = listing_revision or page.at
+        known_count = len(document_by_name)
         after_name = _add_page(document_by_name, page)
-        if not after_name:
+        if not page.has_more:
             break
+        if len(document_by_name) == known_count:
+            # The page has no name after which the listing goes on.
+            return result.Failure(store_link.Failure.UNKNOWN)
     return result.Success(
         store_link.Listing(
             revision=listing_revision, document_by_name=document_by_name
@@ -194,13 +200,18 @@
     document_by_name: dict[str, store_link.Document],
     page: ListingMessage,
 ) -> str:
-    """Add a page's objects; return the name to continue after, if any."""
+    """Add a page's objects; return the name to continue after, if any.
+
+    This is the last name that can be decoded, so that the next page has all
+    later objects.
+    """
     last_name = ''
     for encoded in page.documents:
         document = _decode_document(encoded)
-        document_by_name[document.name] = document
-        last_name = document.name
-    return last_name if page.has_more else ''
+        if document is not None and document.name:
+            document_by_name[document.name] = document
+            last_name = document.name
+    return last_name
 
 
 def _make_page_path(topic: store_link.Topic, after_name: str) -> str:
@@ -235,11 +246,10 @@
         store_link.Changes(
             revision=message.at,
             changes=tuple(
-                store_link.Change(
-                    document=_decode_document(event.object),
-                    removed=event.removed,
-                )
+                store_link.Change(document=document, removed=event.removed)
                 for event in message.events
+                if (document := _decode_document(event.object)) is not None
+                and document.name
             ),
         ),
     )
@@ -253,12 +263,13 @@
     page = _decode_reply(store_result.unwrap(), ListingMessage)
     if page is None:
         return result.Failure(store_link.Failure.UNKNOWN)
-    documents = [_decode_document(encoded) for encoded in page.documents]
+    document = None
+    if page.documents:
+        document = _decode_document(page.documents[0])
+        if document is None:
+            return result.Failure(store_link.Failure.UNKNOWN)
     return result.Success(
-        store_link.RecordSnapshot(
-            revision=page.at,
-            document=documents[0] if documents else None,
-        ),
+        store_link.RecordSnapshot(revision=page.at, document=document),
     )
 
 
@@ -284,7 +295,10 @@
         return result.Failure(store_link.Failure.CONFLICT)
     if reply.status not in {http.HTTPStatus.OK, http.HTTPStatus.CREATED}:
         return result.Failure(store_link.Failure.UNKNOWN)
-    return result.Success(_decode_document(reply.body))
+    document = _decode_document(reply.body)
+    if document is None:
+        return result.Failure(store_link.Failure.UNKNOWN)
+    return result.Success(document)
 
 
 def _decode_reply(
@@ -295,19 +309,25 @@
         return None
     try:
         return msgspec.json.decode(reply.body, type=model)
-    except msgspec.MsgspecError:
+    except _DECODING_ERRORS:
         return None
 
 
-def _decode_document(encoded: bytes | msgspec.Raw) -> store_link.Document:
-    """Decode an object; its body is `None` if it can't be decoded."""
+def _decode_document(
+    encoded: bytes | msgspec.Raw,
+) -> store_link.Document | None:
+    """Decode an object; return `None` if its metadata can't be decoded.
+
+    Its body is `None` if only that can't be decoded.
+    """
     try:
         message = msgspec.json.decode(encoded, type=ObjectMessage)
-    except msgspec.MsgspecError:
-        return store_link.Document(name='', revision=0, body=None)
+    except _DECODING_ERRORS as error:
+        events.log_event(events.Event.OBJECT_UNREADABLE, fault=str(error))
+        return None
     try:
         body = msgspec.json.decode(message.spec)
-    except msgspec.MsgspecError:
+    except _DECODING_ERRORS:
         body = None
     return store_link.Document(
         name=message.metadata.name,
--- a/tests/test_border_values.py
+++ b/tests/test_border_values.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+from returns import result
 from tornado import httputil
 
 from lentilgauge import events
@@ -17,6 +18,7 @@
     headers,
     objects,
     settings,
+    store_adapter,
     upstream_adapter,
 )
 from lentilgauge.standins import gateway_documents
@@ -212,3 +214,75 @@
             self.assertEqual(
                 call_result.failure(), http_client.LinkFailure.NOT_CONNECTED
             )
+
+
+class PagedStore:
+    """Store of objects that it lists in pages of two."""
+
+    def __init__(self, *objects: object) -> None:
+        """Hold objects, the names of which are in order."""
+        self.objects = objects
+
+    async def send(self, call: http_client.Call) -> http_client.CallResult:
+        """Answer with the page after the name in the call."""
+        _, _, after_name = call.url.partition('after=')
+        names = [self.read_name(listed) for listed in self.objects]
+        first = names.index(after_name) + 1 if after_name else 0
+        page = self.objects[first : first + 2]
+        body = {
+            'items': page,
+            'hasMore': first + 2 < len(self.objects),
+            'at': 9,
+        }
+        return result.Success(
+            http_client.Reply(
+                status=200,
+                headers=httputil.HTTPHeaders(),
+                body=json.dumps(body).encode(),
+            ),
+        )
+
+    def read_name(self, listed: object) -> object:
+        """Return an object's name, if it has any."""
+        assert isinstance(listed, dict)
+        return listed['metadata'].get('name')
+
+
+def make_object(name: object) -> dict[str, object]:
+    """Make an object as the store lists it."""
+    return {'metadata': {'name': name, 'revision': 3}, 'spec': {}}
+
+
+class ListingTest(unittest.IsolatedAsyncioTestCase):
+    """A listing has every object that can be read, or fails."""
+
+    async def list_objects(self, *objects: object) -> store_link.ListingResult:
+        """List some objects of a topic."""
+        client = http_client.Client(send=PagedStore(*objects).send)
+        store = store_adapter.make_store(client, 'store:1')
+        return await store.list_topic(store_link.Topic.UPSTREAMS)
+
+    async def test_unreadable_names_do_not_end_a_listing(self) -> None:
+        """Guard against a page's last object that hides all later ones."""
+        for unreadable in (
+            make_object(7),
+            make_object(''),
+            {'metadata': {'name': 'b', 'revision': 'x'}},
+            {'metadata': {}},
+        ):
+            listing = await self.list_objects(
+                make_object('a'),
+                unreadable,
+                make_object('c'),
+                make_object('d'),
+                make_object('e'),
+            )
+            names = sorted(listing.unwrap().document_by_name)
+            self.assertEqual(names, ['a', 'c', 'd', 'e'])
+
+    async def test_a_listing_that_cannot_go_on_fails(self) -> None:
+        """Guard against a part of a listing that is taken for the whole."""
+        listing = await self.list_objects(
+            make_object(7), make_object(8), make_object('c')
+        )
+        self.assertEqual(listing.failure(), store_link.Failure.UNKNOWN)
