Forget draining times of gone upstreams and waits that timed out

A gateway kept the draining time of each upstream that had ever drained, as only its return to readiness removed it, and each wait for a change that timed out, until the next change came.

Draining times are now forgotten a minute after they began, unless the upstream is still announced; for that minute an entry that lapses in a store outage and comes back keeps its time. A wait that ends, in whatever way, takes itself out.

A third test guards what was right before.

--- a/src/lentilgauge/vms/state_cache.py
+++ b/src/lentilgauge/vms/state_cache.py
@@ -19,6 +19,9 @@
 #: Upstreams whose entries expired while the store was unreachable write them
 #: again within two seconds of the store's return.
 REREGISTRATION_GRACE_MS = 2200
+#: An entry that expires and is written again meanwhile doesn't start its
+#: upstream's draining time anew.
+_DRAINING_MEMORY_MS = 60_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,7 +62,8 @@
     `revision_by_upstream` has the store's revision of each decoded upstream
     entry. `granter_heard_ms` is when the granter was last heard of, directly or
     through another VM. `draining_since_ms_by_id` is when each upstream that
-    isn't ready was first seen so, and `evacuated_since_ms_by_domain` when the
+    isn't ready was first seen so; it is forgotten some time after the upstream
+    is gone. `evacuated_since_ms_by_domain` is when the
     evacuation of each failure domain was first seen. `notify_change` completes
     the `change_waiters` and calls the `change_listeners`.
     """
@@ -85,8 +89,8 @@
         default_factory=ownership_module.Ownership,
     )
     granter_heard_ms: int = 0
-    change_waiters: list[asyncio.Future[None]] = dataclasses.field(
-        default_factory=list,
+    change_waiters: dict[asyncio.Future[None], None] = dataclasses.field(
+        default_factory=dict,
     )
     change_listeners: list[Callable[[], None]] = dataclasses.field(
         default_factory=list,
@@ -107,7 +111,7 @@
     for listener in state_cache.change_listeners:
         listener()
     waiters = state_cache.change_waiters
-    state_cache.change_waiters = []
+    state_cache.change_waiters = {}
     for waiter in waiters:
         if not waiter.done():
             waiter.set_result(None)
@@ -116,7 +120,7 @@
 async def wait_for_change(state_cache: StateCache, timeout_ms: float) -> None:
     """Wait for the next change, or until the timeout."""
     waiter = asyncio.get_running_loop().create_future()
-    state_cache.change_waiters.append(waiter)
+    state_cache.change_waiters[waiter] = None
     timer = asyncio.get_running_loop().call_later(
         clock.to_seconds(max(timeout_ms, 1)),
         _wake_waiter,
@@ -126,6 +130,7 @@
         await waiter
     finally:
         timer.cancel()
+        state_cache.change_waiters.pop(waiter, None)
 
 
 def _wake_waiter(waiter: asyncio.Future[None]) -> None:
@@ -285,12 +290,7 @@
         if decoded is not None:
             upstream_by_id[name] = decoded
     state_cache.upstream_by_id = upstream_by_id
-    now_ms = state_cache.now_ms()
-    for upstream in upstream_by_id.values():
-        if upstream.state is upstream_state.State.READY:
-            state_cache.draining_since_ms_by_id.pop(upstream.id, None)
-        else:
-            state_cache.draining_since_ms_by_id.setdefault(upstream.id, now_ms)
+    _update_draining_times(state_cache)
     for removed_id in (
         state_cache.revision_by_upstream.keys() - upstream_by_id.keys()
     ):
@@ -298,6 +298,21 @@
         events.log_event(events.Event.UPSTREAM_GONE, upstream=removed_id)
 
 
+def _update_draining_times(state_cache: StateCache) -> None:
+    now_ms = state_cache.now_ms()
+    for upstream in state_cache.upstream_by_id.values():
+        if upstream.state is upstream_state.State.READY:
+            state_cache.draining_since_ms_by_id.pop(upstream.id, None)
+        else:
+            state_cache.draining_since_ms_by_id.setdefault(upstream.id, now_ms)
+    state_cache.draining_since_ms_by_id = {
+        upstream_id: since_ms
+        for upstream_id, since_ms in state_cache.draining_since_ms_by_id.items()
+        if upstream_id in state_cache.upstream_by_id
+        or now_ms < since_ms + _DRAINING_MEMORY_MS
+    }
+
+
 def _read_upstream(
     state_cache: StateCache,
     document: store_link.Document,
--- a/tests/test_border_values.py
+++ b/tests/test_border_values.py
@@ -22,6 +22,8 @@
     upstream_adapter,
 )
 from lentilgauge.standins import gateway_documents
+from lentilgauge.vms import state_cache as state_cache_module
+from tests import gateway_fixtures
 
 _BAD_DURATIONS = (
     'infms',
@@ -286,3 +288,67 @@
             make_object(7), make_object(8), make_object('c')
         )
         self.assertEqual(listing.failure(), store_link.Failure.UNKNOWN)
+
+
+class BoundedMemoryTest(unittest.IsolatedAsyncioTestCase):
+    """A cache must not grow with the upstreams and waits of earlier days."""
+
+    def setUp(self) -> None:
+        """Make an empty cache."""
+        self.clock = gateway_fixtures.Clock()
+        self.cache = state_cache_module.make_state_cache(
+            state_cache_module.Decoders(
+                read_configuration=objects.read_configuration,
+                read_upstream=objects.read_upstream,
+            ),
+            self.clock.read,
+        )
+        self.revision = 0
+
+    def announce_draining(self, *names: str) -> None:
+        """Announce upstreams that are draining, in place of all others."""
+        self.revision += 1
+        body = {
+            'service': 's',
+            'address': '10.0.0.1:80',
+            'zone': 'z1',
+            'slots': 2,
+            'state': 'draining',
+        }
+        state_cache_module.replace_topic(
+            self.cache,
+            store_link.Topic.UPSTREAMS,
+            self.revision,
+            {
+                name: store_link.Document(
+                    name=name, revision=self.revision, body=body
+                )
+                for name in names
+            },
+        )
+
+    def test_draining_times_of_gone_upstreams_are_forgotten(self) -> None:
+        for number in range(1000):
+            self.announce_draining(f'u{number}')
+            self.clock.now_ms += 10_000
+        self.assertLess(len(self.cache.draining_since_ms_by_id), 10)
+
+    def test_an_entry_that_lapsed_keeps_its_draining_time(self) -> None:
+        """Guard against an upstream that drains anew after a store outage."""
+        began_ms = self.clock.now_ms
+        for names in (('u1',), (), ('u1',)):
+            self.announce_draining(*names)
+            self.clock.now_ms += 10_000
+        self.assertEqual(self.cache.draining_since_ms_by_id, {'u1': began_ms})
+
+    async def test_waits_that_timed_out_are_not_kept(self) -> None:
+        for _ in range(20):
+            await state_cache_module.wait_for_change(self.cache, 1)
+        self.assertEqual(len(self.cache.change_waiters), 0)
+        wait = asyncio.ensure_future(
+            state_cache_module.wait_for_change(self.cache, 60_000)
+        )
+        await asyncio.sleep(0)
+        wait.cancel()
+        await asyncio.gather(wait, return_exceptions=True)
+        self.assertEqual(len(self.cache.change_waiters), 0)
