--- a/src/lentilgauge/platform/program.py
+++ b/src/lentilgauge/platform/program.py
@@ -125,6 +125,25 @@
     return host, int(port)
 
 
+def start_metrics_server(
+    local_gateway: gateway.Gateway, address: str, port: int
+) -> None:
+    """Serve metrics, or print why the port can't be used and exit."""
+    try:
+        http_server.start_server(
+            routes=peer_routes.make_metrics_routes(local_gateway),
+            address=address,
+            port=port,
+        )
+    except OSError as error:
+        path = pathlib.Path(sys.argv[-1])
+        detail = gateway_settings.describe_unusable_port(
+            path, address, port, error
+        )
+        sys.stderr.write(f'{detail}\n')
+        sys.exit(_BAD_SETTINGS_EXIT_CODE)
+
+
 async def run_gateway(
     path: pathlib.Path,
     settings_file: settings.SettingsFile,
@@ -138,11 +157,7 @@
         address=peer_host,
         port=peer_port,
     )
-    http_server.start_server(
-        routes=peer_routes.make_metrics_routes(local_gateway),
-        address=peer_host,
-        port=gateway_file.metrics.port,
-    )
+    start_metrics_server(local_gateway, peer_host, gateway_file.metrics.port)
     ready_host, ready_port = _split_address(settings_file.listen.ready)
     http_server.start_server(
         routes=gateway_process.make_readiness_routes(
