--- a/tests/test_border_values.py
+++ b/tests/test_border_values.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+from returns import result
 from tornado import httputil
 
 from lentilgauge import events
@@ -17,9 +18,12 @@
     headers,
     objects,
     settings,
+    store_adapter,
     upstream_adapter,
 )
 from lentilgauge.standins import gateway_documents
+from lentilgauge.vms import state_cache as state_cache_module
+from tests import gateway_fixtures
 
 _BAD_DURATIONS = (
     'infms',
@@ -212,3 +216,139 @@
             self.assertEqual(
                 call_result.failure(), http_client.LinkFailure.NOT_CONNECTED
             )
+
+
+class PagedStore:
+    """Store of objects that it lists in pages of two."""
+
+    def __init__(self, *objects: object) -> None:
+        """Hold objects, the names of which are in order."""
+        self.objects = objects
+
+    async def send(self, call: http_client.Call) -> http_client.CallResult:
+        """Answer with the page after the name in the call."""
+        _, _, after_name = call.url.partition('after=')
+        names = [self.read_name(listed) for listed in self.objects]
+        first = names.index(after_name) + 1 if after_name else 0
+        page = self.objects[first : first + 2]
+        body = {
+            'items': page,
+            'hasMore': first + 2 < len(self.objects),
+            'at': 9,
+        }
+        return result.Success(
+            http_client.Reply(
+                status=200,
+                headers=httputil.HTTPHeaders(),
+                body=json.dumps(body).encode(),
+            ),
+        )
+
+    def read_name(self, listed: object) -> object:
+        """Return an object's name, if it has any."""
+        assert isinstance(listed, dict)
+        return listed['metadata'].get('name')
+
+
+def make_object(name: object) -> dict[str, object]:
+    """Make an object as the store lists it."""
+    return {'metadata': {'name': name, 'revision': 3}, 'spec': {}}
+
+
+class ListingTest(unittest.IsolatedAsyncioTestCase):
+    """A listing has every object that can be read, or fails."""
+
+    async def list_objects(self, *objects: object) -> store_link.ListingResult:
+        """List some objects of a topic."""
+        client = http_client.Client(send=PagedStore(*objects).send)
+        store = store_adapter.make_store(client, 'store:1')
+        return await store.list_topic(store_link.Topic.UPSTREAMS)
+
+    async def test_unreadable_names_do_not_end_a_listing(self) -> None:
+        """Guard against a page's last object that hides all later ones."""
+        for unreadable in (
+            make_object(7),
+            make_object(''),
+            {'metadata': {'name': 'b', 'revision': 'x'}},
+            {'metadata': {}},
+        ):
+            listing = await self.list_objects(
+                make_object('a'),
+                unreadable,
+                make_object('c'),
+                make_object('d'),
+                make_object('e'),
+            )
+            names = sorted(listing.unwrap().document_by_name)
+            self.assertEqual(names, ['a', 'c', 'd', 'e'])
+
+    async def test_a_listing_that_cannot_go_on_fails(self) -> None:
+        """Guard against a part of a listing that is taken for the whole."""
+        listing = await self.list_objects(
+            make_object(7), make_object(8), make_object('c')
+        )
+        self.assertEqual(listing.failure(), store_link.Failure.UNKNOWN)
+
+
+class BoundedMemoryTest(unittest.IsolatedAsyncioTestCase):
+    """A cache must not grow with the upstreams and waits of earlier days."""
+
+    def setUp(self) -> None:
+        """Make an empty cache."""
+        self.clock = gateway_fixtures.Clock()
+        self.cache = state_cache_module.make_state_cache(
+            state_cache_module.Decoders(
+                read_configuration=objects.read_configuration,
+                read_upstream=objects.read_upstream,
+            ),
+            self.clock.read,
+        )
+        self.revision = 0
+
+    def announce_draining(self, *names: str) -> None:
+        """Announce upstreams that are draining, in place of all others."""
+        self.revision += 1
+        body = {
+            'service': 's',
+            'address': '10.0.0.1:80',
+            'zone': 'z1',
+            'slots': 2,
+            'state': 'draining',
+        }
+        state_cache_module.replace_topic(
+            self.cache,
+            store_link.Topic.UPSTREAMS,
+            self.revision,
+            {
+                name: store_link.Document(
+                    name=name, revision=self.revision, body=body
+                )
+                for name in names
+            },
+        )
+
+    def test_draining_times_of_gone_upstreams_are_forgotten(self) -> None:
+        for number in range(1000):
+            self.announce_draining(f'u{number}')
+            self.clock.now_ms += 10_000
+        self.assertLess(len(self.cache.draining_since_ms_by_id), 10)
+
+    def test_an_entry_that_lapsed_keeps_its_draining_time(self) -> None:
+        """Guard against an upstream that drains anew after a store outage."""
+        began_ms = self.clock.now_ms
+        for names in (('u1',), (), ('u1',)):
+            self.announce_draining(*names)
+            self.clock.now_ms += 10_000
+        self.assertEqual(self.cache.draining_since_ms_by_id, {'u1': began_ms})
+
+    async def test_waits_that_timed_out_are_not_kept(self) -> None:
+        for _ in range(20):
+            await state_cache_module.wait_for_change(self.cache, 1)
+        self.assertEqual(len(self.cache.change_waiters), 0)
+        wait = asyncio.ensure_future(
+            state_cache_module.wait_for_change(self.cache, 60_000)
+        )
+        await asyncio.sleep(0)
+        wait.cancel()
+        await asyncio.gather(wait, return_exceptions=True)
+        self.assertEqual(len(self.cache.change_waiters), 0)
