Keep the ports of a system under test reserved until it ends

Cause: the ports were found by binding port 0 and closing the sockets again before any process was started. They lie in the range of outgoing connections, and whoever asked for a free port meanwhile, a connection or another system's harness, could get one. The slower the starts, the longer the gap; for a process that is killed and started again it lasted the whole run.

The sockets stay bound now, without listening, until kill_all. The kernel then gives their ports neither to outgoing connections nor to those who ask for any port, while the processes, which allow the reuse of addresses, listen on them as before.

--- a/src/lentilgauge/load/cluster.py
+++ b/src/lentilgauge/load/cluster.py
@@ -9,18 +9,22 @@
 import sys
 from collections.abc import Coroutine, Sequence
 
-from lentilgauge.load import processes, topology
+from lentilgauge.load import ports, processes, topology
 
-LOOPBACK = '127.0.0.1'
+LOOPBACK = ports.LOOPBACK
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Cluster:
-    """Running system: its topology, settings folder, ports and processes."""
+    """Running system: its topology, settings folder, ports and processes.
+
+    `reservation_by_name` has the sockets that keep its ports from others.
+    """
 
     system_topology: topology.Topology
     folder: pathlib.Path
     port_by_name: dict[str, int]
+    reservation_by_name: dict[str, socket.socket]
     process_by_name: dict[str, processes.Process] = dataclasses.field(
         default_factory=dict,
     )
@@ -30,19 +34,6 @@
         return f'http://{LOOPBACK}:{self.port_by_name[name]}'
 
 
-def _find_free_ports(count: int) -> list[int]:
-    """Find free ports, each bound until all are found, so that none repeats."""
-    sockets = []
-    for _ in range(count):
-        bound_socket = socket.socket()
-        bound_socket.bind((LOOPBACK, 0))
-        sockets.append(bound_socket)
-    ports = [bound_socket.getsockname()[1] for bound_socket in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
-    return ports
-
-
 def _list_port_names(system_topology: topology.Topology) -> list[str]:
     return [
         topology.PLATFORM,
@@ -65,16 +56,19 @@
     folder: pathlib.Path,
     extra_port_names: Sequence[str] = (),
 ) -> Cluster:
-    """Choose the ports of a system and write its settings files.
+    """Reserve the ports of a system and write its settings files.
 
-    `extra_port_names` are the names of further ports to choose.
+    `extra_port_names` are the names of further ports to reserve. They stay
+    reserved until `kill_all`.
     """
-    port_names = [*_list_port_names(system_topology), *extra_port_names]
-    ports = _find_free_ports(len(port_names))
+    reservation_by_name = ports.reserve_ports(
+        (*_list_port_names(system_topology), *extra_port_names),
+    )
     cluster = Cluster(
         system_topology=system_topology,
         folder=folder,
-        port_by_name=dict(zip(port_names, ports, strict=True)),
+        port_by_name=ports.map_ports(reservation_by_name),
+        reservation_by_name=reservation_by_name,
     )
     for vm in system_topology.vms:
         write_vm_settings(cluster, vm)
@@ -245,10 +239,11 @@
 
 
 async def kill_all(cluster: Cluster) -> None:
-    """Kill all processes and wait until they have ended."""
+    """Kill all processes, wait until they have ended and free their ports."""
     await asyncio.gather(
         *(
             processes.stop_process(process, signal.SIGKILL)
             for process in cluster.process_by_name.values()
         ),
     )
+    ports.free_ports(cluster.reservation_by_name)
