Escape label values of metrics, and keep label pairs in messages

A route or service whose configured name has a quote, backslash or newline made lines that scrapers reject, or two labels of one; the report lost its requests, those of a name with a brace too. Metrics as messages dropped the label pairs, so counters of several routes had the same name.

Label values are escaped in the text form, the report reads them back, and messages carry the pairs.

--- a/src/lentilgauge/links/metrics_messages.py
+++ b/src/lentilgauge/links/metrics_messages.py
@@ -10,6 +10,7 @@
 
     family: str
     label: str
+    label_pairs: list[tuple[str, str]] = []
     count: int
 
 
@@ -21,6 +22,7 @@
 
     family: str
     label: str
+    label_pairs: list[tuple[str, str]] = []
     count: int
     payload: str
 
@@ -37,7 +39,10 @@
     return MetricsMessage(
         counters=[
             CounterMessage(
-                family=metric_key.family, label=metric_key.label, count=total
+                family=metric_key.family,
+                label=metric_key.label,
+                label_pairs=list(metric_key.label_pairs),
+                count=total,
             )
             for metric_key, total in sorted(
                 process_metrics.count_by_key.items()
@@ -47,6 +52,7 @@
             HistogramMessage(
                 family=metric_key.family,
                 label=metric_key.label,
+                label_pairs=list(metric_key.label_pairs),
                 count=histogram.total_count,
                 payload=histogram.encode().decode('ascii'),
             )
--- a/src/lentilgauge/metrics.py
+++ b/src/lentilgauge/metrics.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import types
 
 from hdrh import histogram as hdr
 
@@ -13,6 +14,10 @@
 #: Upper bounds of the exported buckets: from the response time of an idle
 #: upstream to the longest deadlines of callers.
 BUCKETS_MS = (10, 25, 50, 100, 200, 300, 400, 600, 1000, 1500, 2500, 5000)
+#: Escapes within the value of a label, by the code of the character.
+_ESCAPE_BY_CODE = types.MappingProxyType(
+    str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'}),
+)
 
 LabelPairs = tuple[tuple[str, str], ...]
 
@@ -100,6 +105,11 @@
         lines.append(f'# TYPE {metric_name} {metric_type}')
 
 
+def escape_label(label_text: str) -> str:
+    """Escape a label's value for the text format."""
+    return label_text.translate(_ESCAPE_BY_CODE)
+
+
 def _render_labels(metric_key: MetricKey, *extra_pairs: tuple[str, str]) -> str:
     label_pairs = [*metric_key.label_pairs, *extra_pairs]
     if metric_key.label:
@@ -107,7 +117,8 @@
     if not label_pairs:
         return ''
     rendered_pairs = ','.join(
-        f'{label_name}="{label_text}"' for label_name, label_text in label_pairs
+        f'{label_name}="{escape_label(label_text)}"'
+        for label_name, label_text in label_pairs
     )
     return f'{{{rendered_pairs}}}'
 
--- a/src/lentilgauge/report/scrapes.py
+++ b/src/lentilgauge/report/scrapes.py
@@ -12,9 +12,12 @@
 _DURATION_BUCKET_METRIC = 'lentilgauge_request_duration_seconds_bucket'
 _EXECUTED_OUTCOME = 'executed'
 _SAMPLE_PATTERN = re.compile(
-    r'(?P<name>\w+)\{(?P<pairs>[^}]*)\} (?P<number>[\d.]+)$',
+    r'(?P<name>\w+)\{(?P<pairs>(?:\w+="(?:[^"\\]|\\.)*",?)*)\} '
+    r'(?P<number>[\d.]+)$',
 )
-_LABEL_PATTERN = re.compile(r'(\w+)="([^"]*)"')
+_LABEL_PATTERN = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
+_ESCAPE_PATTERN = re.compile(r'\\(.)')
+_NEWLINE_ESCAPE = 'n'
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -34,16 +37,28 @@
     """Sum the scrapes of several VMs by route, skipping other metrics."""
     counts_by_route: CountsByRoute = {}
     for path in paths:
-        for line in path.read_text(encoding='utf-8').splitlines():
+        for line in path.read_bytes().decode().split('\n'):
             _add_sample(counts_by_route, line)
     return counts_by_route
 
 
+def _unescape(escape: re.Match[str]) -> str:
+    """Return the character that an escape in a label's value stands for."""
+    return '\n' if escape[1] == _NEWLINE_ESCAPE else escape[1]
+
+
+def _read_label_pairs(pairs: str) -> dict[str, str]:
+    return {
+        match[1]: _ESCAPE_PATTERN.sub(_unescape, match[2])
+        for match in _LABEL_PATTERN.finditer(pairs)
+    }
+
+
 def _add_sample(counts_by_route: CountsByRoute, line: str) -> None:
     sample = _SAMPLE_PATTERN.match(line)
     if sample is None:
         return
-    label_pairs = dict(_LABEL_PATTERN.findall(sample['pairs']))
+    label_pairs = _read_label_pairs(sample['pairs'])
     route = label_pairs.get('route', '')
     sample_count = int(float(sample['number']))
     if sample['name'] == _REQUESTS_METRIC:
