Read a deadline with leading zeros as the number it is

An entry cut a deadline header to its first nine characters, so counted as 0 and the request was refused as too late.

Leading zeros are now dropped before the cut. The new test failed before: the deadline was 0 ms away in place of 900.

--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -136,7 +136,7 @@
     return None
 
 
-def _parse_deadline_ms(
+def parse_deadline_ms(
     entry: entry_module.Entry,
     kind_timeout_ms: int,
     headers: httputil.HTTPHeaders,
@@ -156,7 +156,8 @@
                 detail=f'header {upstream_data.DEADLINE_MS} is not a number',
             ),
         )
-    allowed_ms = min(int(deadline_text[:_MAX_DEADLINE_DIGITS]), kind_timeout_ms)
+    digits = deadline_text.lstrip('0') or '0'
+    allowed_ms = min(int(digits[:_MAX_DEADLINE_DIGITS]), kind_timeout_ms)
     return result.Success(entry.now_ms() + allowed_ms)
 
 
@@ -180,7 +181,7 @@
         return result.Failure(match_result.failure())
     match = match_result.unwrap()
     exchange.kind = match.kind.name
-    deadline = _parse_deadline_ms(
+    deadline = parse_deadline_ms(
         entry,
         match.kind.timeout_ms,
         exchange.headers,
--- a/tests/test_border_values.py
+++ b/tests/test_border_values.py
@@ -12,7 +12,8 @@
 from tornado import httputil
 
 from lentilgauge import events
-from lentilgauge.links import http_client, store_link
+from lentilgauge.callers import server as server_module
+from lentilgauge.links import http_client, store_link, upstream_data
 from lentilgauge.platform import (
     durations,
     headers,
@@ -158,6 +159,22 @@
                 load = upstream_adapter.parse_load(reply_headers)
                 self.assertIsNone(load, text[:20])
 
+    def test_leading_zeros_of_a_deadline_count_nothing(self) -> None:
+        """Guard against a deadline that is cut to its leading zeros."""
+        entry = mock.Mock(now_ms=lambda: 1000)
+        for text, allowed_ms in (
+            ('0000000000900', 900),
+            ('000000000', 0),
+            ('9' * 5000, 4000),
+            ('900', 900),
+        ):
+            deadline_ms = server_module.parse_deadline_ms(
+                entry,
+                4000,
+                httputil.HTTPHeaders({upstream_data.DEADLINE_MS: text}),
+            )
+            self.assertEqual(deadline_ms.unwrap(), 1000 + allowed_ms)
+
 
 class RawHeadServer:
     """Server that keeps each request's head and answers under one id."""
