Measure late answers among answers, and report an empty run

The report's latency burn divided late answers by all requests: a run in which most requests failed seemed to be in time. The objective is the share of executed requests that complete in time, so late ones are now divided by the executed ones, in runs and in scrapes. An empty run raised ValueError as no window was the worst; it now has one empty window.

Evidence: both new tests failed before, with a rate of 0.4 in place of 2 for two late answers of two, beside eight failures, and with ValueError.

--- a/src/lentilgauge/report/burn_rates.py
+++ b/src/lentilgauge/report/burn_rates.py
@@ -94,7 +94,7 @@
             objective.availability,
         ),
         latency_rate=compute_burn_rate(
-            late, len(kind_observations), objective.in_time
+            late, len(kind_observations) - failed, objective.in_time
         ),
         count_by_error=count_by_error,
     )
@@ -129,7 +129,8 @@
 ) -> BurnMeasurement:
     """Find the window in which the availability budget burned fastest.
 
-    The run is divided into consecutive windows of equal length.
+    The run is divided into consecutive windows of equal length; an empty run
+    has one empty window.
     """
     observations_by_window: dict[int, list[Observation]] = {}
     for request in observations:
@@ -138,7 +139,7 @@
         ).append(request)
     burns = [
         measure_burn(objective, window_observations, window_ms)
-        for window_observations in observations_by_window.values()
+        for window_observations in observations_by_window.values() or ((),)
     ]
     return max(
         burns, key=lambda burn_measurement: burn_measurement.availability_rate
--- a/src/lentilgauge/report/scrapes.py
+++ b/src/lentilgauge/report/scrapes.py
@@ -107,7 +107,7 @@
             objective.availability,
         ),
         latency_rate=burn_rates.compute_burn_rate(
-            late, requests, objective.in_time
+            late, executed, objective.in_time
         ),
         count_by_error={
             outcome: request_count
--- a/tests/test_reload_and_report.py
+++ b/tests/test_reload_and_report.py
@@ -16,7 +16,7 @@
     topology,
     user_topologies,
 )
-from lentilgauge.report import burn_rates, command_line
+from lentilgauge.report import burn_rates, command_line, scrapes
 from tests import systems
 
 OBJECTIVE = burn_rates.Objective(
@@ -59,6 +59,29 @@
         # All answers are late, and half of them may be.
         self.assertAlmostEqual(measurement.latency_rate, 2)
 
+    def test_late_answers_are_counted_among_answers(self) -> None:
+        """Guard against failures that make answers seem in time."""
+        observations = [make_observation(number, 11) for number in range(2)]
+        observations += [
+            make_observation(number, 5, 'overloaded') for number in range(8)
+        ]
+        measurement = burn_rates.measure_burn(OBJECTIVE, observations, 100)
+        self.assertAlmostEqual(measurement.latency_rate, 2)
+        counts = scrapes.RouteCounts(
+            count_by_outcome={'executed': 2, 'overloaded': 8},
+            count_by_bound_ms={10: 0, 25: 10},
+        )
+        measurement = scrapes.measure_route(OBJECTIVE, counts)
+        self.assertAlmostEqual(measurement.latency_rate, 2)
+
+    def test_an_empty_run_burns_nothing(self) -> None:
+        """Guard against an exception in place of a report."""
+        worst = burn_rates.find_worst_window(OBJECTIVE, [], 10)
+        self.assertEqual((worst.requests, worst.availability_rate), (0, 0))
+        failed = [make_observation(0, 5, 'overloaded')]
+        measurement = burn_rates.measure_burn(OBJECTIVE, failed, 10)
+        self.assertEqual(measurement.latency_rate, 0)
+
     def test_the_worst_window_is_found(self) -> None:
         observations = [
             make_observation(0, 1),
