Let a granter's lapsed right come back by the store alone

What callers saw: nothing yet; an upstream that had restarted under its id accepted keys under a lower token than its predecessor had, so the rule of rising tokens was broken, and keys could have had two holders.

Cause: a granter that neither the store nor a majority had confirmed for 1.2 s sent no orders, but took them up again as soon as a majority followed it. In between, a successor may have written the next term and granted under higher tokens. Upstreams refuse the lower ones only as long as they remember higher ones, and a process that starts under the same id remembers none.

The new test cuts three VMs off from each other for 4 s and heals one link: on the code before, six tokens that didn't rise, one for each upstream.

The right to order is now a deadline. The store's confirmation sets it, followers extend it while it runs, and a right that has ended is not extended.

--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -54,8 +54,9 @@
     confirmed the term. `incarnation_at_confirmation_by_vm` has the peers that
     were known when it last did. `term_confirmed` is false from a failed check
     of the term until the store confirms it again. `store_outage` says that the
-    store is unreachable for most VMs. `orders_suspended` says that
-    `may_send_orders` was false when it was last checked for the log.
+    store is unreachable for most VMs. Orders may be sent until `orders_end_ms`.
+    `orders_suspended` says that this had passed when it was last checked for
+    the log.
 
     `inherited_grants_end_ms` is the time by which all grants of earlier
     granters have expired. `successor` is the peer that is asked to take over
@@ -81,6 +82,7 @@
     reserved_fence_limit: int
     confirmed_ms: int
     inherited_grants_end_ms: int
+    orders_end_ms: int = 0
     term_started_ms: int = 0
     recorded_vms: tuple[str, ...] = ()
     incarnation_at_confirmation_by_vm: dict[str, str] = dataclasses.field(
@@ -136,51 +138,65 @@
 
 
 def may_send_orders(granter_state: GranterState) -> bool:
-    """Return whether this granter may still send orders.
-
-    It may while the store has confirmed the term recently, or while a majority
-    of VMs follows the term, so that no successor can have a majority.
-    """
+    """Return whether this granter may still send orders."""
     if granter_state.stopped:
         return False
-    age_ms = now_ms(granter_state) - granter_state.confirmed_ms
-    return age_ms < grant_timing.GRANTER_GRACE_MS or is_followed_by_majority(
-        granter_state
-    )
+    return now_ms(granter_state) < granter_state.orders_end_ms
+
 
+def extend_right_to_order(granter_state: GranterState) -> None:
+    """Extend the right to send orders while a majority follows the term.
+
+    No successor can have a majority then. A right that has ended isn't
+    extended: a successor may have granted keys since, so that only the store
+    can confirm the term again.
+    """
+    followed_ms = _find_majority_followed_ms(granter_state)
+    if followed_ms is not None and may_send_orders(granter_state):
+        granter_state.orders_end_ms = max(
+            granter_state.orders_end_ms,
+            followed_ms + grant_timing.GRANTER_GRACE_MS,
+        )
 
-def is_followed_by_majority(granter_state: GranterState) -> bool:
-    """Return whether a majority of VMs follows the term.
+
+def _find_majority_followed_ms(granter_state: GranterState) -> int | None:
+    """Return the latest time at which a majority followed the term.
 
     The followers must be a majority of the VMs in the record, and also of
-    those in the current ownership, which may not be recorded yet.
+    those in the current ownership, which may not be recorded yet. `None` means
+    that a majority has never followed.
     """
-    oldest_ms = now_ms(granter_state) - grant_timing.GRANTER_GRACE_MS
-    followers = {granter_state.gateway.local_peer.vm}
-    for vm, followed_term in granter_state.gateway.followed_term_by_vm.items():
-        if _is_recent_follower(granter_state, vm, followed_term, oldest_ms):
-            followers.add(vm)
-    return all(
-        grant_timing.is_majority(len(followers.intersection(vms)), len(vms))
-        for vms in (granter_state.recorded_vms, granter_state.ownership.vms)
-    )
+    gateway = granter_state.gateway
+    followed_ms_by_vm = {
+        vm: followed_term.followed_after_ms
+        for vm, followed_term in gateway.followed_term_by_vm.items()
+        if _is_follower(granter_state, vm, followed_term)
+    }
+    followed_ms_by_vm[gateway.local_peer.vm] = now_ms(granter_state)
+    majority_times_ms: list[int] = []
+    for vms in (granter_state.recorded_vms, granter_state.ownership.vms):
+        latest_first = sorted(
+            (followed_ms_by_vm[vm] for vm in vms if vm in followed_ms_by_vm),
+            reverse=True,
+        )
+        if not grant_timing.is_majority(len(latest_first), len(vms)):
+            return None
+        majority_times_ms.append(latest_first[len(vms) // 2])
+    return min(majority_times_ms)
 
 
-def _is_recent_follower(
+def _is_follower(
     granter_state: GranterState,
     vm: str,
     followed_term: gateway_module.FollowedTerm,
-    oldest_ms: int,
 ) -> bool:
-    """Return whether a VM followed the term recently.
+    """Return whether a VM followed the term when it was last heard of.
 
     A VM that restarted while the store was unreachable no longer knows which
     granter it followed, and doesn't count.
     """
     if followed_term.term != granter_state.ownership.term:
         return False
-    if followed_term.followed_after_ms < oldest_ms:
-        return False
     return (
         granter_state.incarnation_at_confirmation_by_vm.get(vm)
         == followed_term.incarnation
@@ -215,6 +231,10 @@
     granter_state.confirmed_ms = max(
         granter_state.confirmed_ms, request_sent_ms
     )
+    granter_state.orders_end_ms = max(
+        granter_state.orders_end_ms,
+        request_sent_ms + grant_timing.GRANTER_GRACE_MS,
+    )
     granter_state.store_outage = False
     granter_state.incarnation_at_confirmation_by_vm = {
         vm: peer.incarnation
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -294,6 +294,7 @@
     try:
         while not granter_state.stopped:
             _raise_task_errors(tasks)
+            granter_state_module.extend_right_to_order(granter_state)
             _run_due_work(granter_state)
             await state_cache_module.wait_for_change(
                 gateway.state_cache, TICK_MS
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,6 +1,7 @@
 """Check what a granter may conclude from the message of an earlier one."""
 
 import asyncio
+import itertools
 import unittest
 
 import loguru
@@ -175,6 +176,31 @@
         virtual_time.run_and_close(loop, restart_in_outage())
         self.assertEqual(model.violations, [])
 
+    def test_followers_do_not_revive_a_right_that_has_lapsed(self) -> None:
+        """Guard against lower tokens than those of a successor."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1, vm_count=3)
+
+        async def lapse_and_follow_again() -> None:
+            await test_granting_model.start_all_vms(model)
+            granter = test_granting_model.pick_granter(model)
+            follower, successor = (vm for vm in model.vm_names if vm != granter)
+            model.store.unreachable_for.update((granter, follower))
+            model.cut_links.update(itertools.permutations(model.vm_names, 2))
+            await asyncio.sleep(4)
+            model.cut_links -= {(granter, follower), (follower, granter)}
+            await asyncio.sleep(1)
+            for name in model.upstream_by_name:
+                model.kill_upstream(name, listed=True)
+                model.start_upstream(name, announced_after=1)
+            await asyncio.sleep(3)
+            self.assertCountEqual(
+                granting_model.find_granters(model), (granter, successor)
+            )
+
+        virtual_time.run_and_close(loop, lapse_and_follow_again())
+        self.assertEqual(model.violations, [])
+
     def test_a_granter_ignores_requests_to_take_over(self) -> None:
         """Guard against a takeover long after the request for it."""
         loop = virtual_time.VirtualLoop()
