Start no more processes of a system at once than there are CPUs

Hypotheses: a missed wake-up or a wait for the platform; a full pipe; a port taken by another process; or the starts hold each other up, as all processes but the platform started at once and the 30 s of each ran while it shared the CPUs with all others.

Evidence: /proc/PID/schedstat and the state of each starting process. Nothing is printed before a process is ready, and its errors go to a file, so no pipe fills up.

Starts now take turns, as many at a time as this process has CPUs. The limit of 30 s stands and covers a start, not a queue of 14. On eight CPUs eight start at once, so the gain there is smaller. The new test fails at once where two start together on one CPU.

The test of a failed start needs upstreams that run while an entry fails, so it now says that there are CPUs for all; what it asserts is as before.

--- a/src/lentilgauge/load/cluster.py
+++ b/src/lentilgauge/load/cluster.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import dataclasses
+import functools
 import os
 import pathlib
 import signal
 import socket
 import sys
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 
 from lentilgauge.load import ports, processes, topology
 
 LOOPBACK = ports.LOOPBACK
 
+#: Starts one process of a system.
+Start = Callable[[], Coroutine[object, object, None]]
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Cluster:
@@ -177,11 +181,15 @@
 async def start_all(cluster: Cluster) -> None:
     """Start all processes; the entries only if `starts_entries` is set.
 
-    If one fails, the other starts are over too when the failure is raised.
+    No more start at once than there are CPUs for them, as the time limit of a
+    start would else cover the others' starts too. If one fails, the other
+    starts are over too when the failure is raised.
     """
     await start_platform(cluster)
+    free_places = asyncio.Semaphore(len(os.sched_getaffinity(0)))
     starts = [
-        asyncio.ensure_future(start) for start in _list_later_starts(cluster)
+        asyncio.ensure_future(_start_in_turn(free_places, start))
+        for start in _list_later_starts(cluster)
     ]
     try:
         await asyncio.gather(*starts)
@@ -191,20 +199,29 @@
         await asyncio.gather(*starts, return_exceptions=True)
 
 
-def _list_later_starts(
-    cluster: Cluster,
-) -> list[Coroutine[object, object, None]]:
+async def _start_in_turn(free_places: asyncio.Semaphore, start: Start) -> None:
+    async with free_places:
+        await start()
+
+
+def _list_later_starts(cluster: Cluster) -> list[Start]:
     """List the starts of all processes but the platform."""
     system_topology = cluster.system_topology
     entry_vms = system_topology.vms if system_topology.starts_entries else ()
     return [
-        *(start_proxy(cluster, name) for name in system_topology.proxied_names),
         *(
-            start_upstream(cluster, upstream)
+            functools.partial(start_proxy, cluster, name)
+            for name in system_topology.proxied_names
+        ),
+        *(
+            functools.partial(start_upstream, cluster, upstream)
             for upstream in system_topology.upstreams
         ),
-        *(start_controller(cluster, vm) for vm in system_topology.vms),
-        *(start_entry(cluster, vm) for vm in entry_vms),
+        *(
+            functools.partial(start_controller, cluster, vm)
+            for vm in system_topology.vms
+        ),
+        *(functools.partial(start_entry, cluster, vm) for vm in entry_vms),
     ]
 
 
--- a/tests/test_failed_starts.py
+++ b/tests/test_failed_starts.py
@@ -35,8 +35,13 @@
             find_program = mock.patch.object(
                 cluster, 'find_program', return_value=str(program)
             )
+            # All start at once, so that the others run when the entries fail.
+            many_cpus = mock.patch.object(
+                cluster.os, 'sched_getaffinity', return_value=range(99)
+            )
             with (
                 find_program,
+                many_cpus,
                 self.assertRaises(processes.NotStartedError),
             ):
                 await cluster.start_all(failed)
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -1,16 +1,26 @@
-"""Test the start of a system beside others on the same machine."""
+"""Test the ports and the order in which the processes of a system start."""
 
 import asyncio
 import pathlib
 import socket
 import tempfile
 import unittest
+from unittest import mock
 
 from tornado import netutil
 
 from lentilgauge.load import cluster
 from tests import test_faults
 
+#: Program that fails if another starts at the same time.
+_PROGRAM = """#!/bin/sh
+mkdir {folder}/starting || exit 1
+sleep 0.1
+rmdir {folder}/starting
+echo ready
+exec sleep 600
+"""
+
 
 def can_bind(port: int) -> bool:
     """Return whether a socket that shares no port can bind this one."""
@@ -25,6 +35,28 @@
 class StartTest(unittest.IsolatedAsyncioTestCase):
     """Starts of a system beside others on the same machine."""
 
+    async def test_no_start_waits_for_more_others_than_there_are_cpus(
+        self,
+    ) -> None:
+        """Guard against a time limit that covers the others' starts too."""
+        with tempfile.TemporaryDirectory() as folder_name:
+            folder = pathlib.Path(folder_name)
+            program = folder / 'program'
+            program.write_text(_PROGRAM.format(folder=folder), encoding='utf-8')
+            program.chmod(0o700)
+            started = cluster.make_cluster(test_faults.make_topology(), folder)
+            find_program = mock.patch.object(
+                cluster, 'find_program', return_value=str(program)
+            )
+            one_cpu = mock.patch.object(
+                cluster.os, 'sched_getaffinity', return_value={0}
+            )
+            try:
+                with find_program, one_cpu:
+                    await cluster.start_all(started)
+            finally:
+                await cluster.kill_all(started)
+
     async def test_ports_are_kept_from_others_until_the_end(self) -> None:
         """Guard against a port that is taken before its process binds it."""
         with tempfile.TemporaryDirectory() as folder_name:
