Lose the answers to writes in the test of a reopened term

The test of a term whose write's answer was lost lost 40 answers to watches and none to a write, and it stopped a controller that held no term, so that none was opened. With a weakened rule, by which a controller opens no term that the record says it holds, it passed.

It now stops a controller that holds terms and loses the answer to the first write of each term record by each controller, and to the reads by which it would learn of the outcome. It asserts that terms were opened so, that each has a successor, that all slots are served and that none had two owners after any round.

--- a/tests/controller_model.py
+++ b/tests/controller_model.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import types
+from collections.abc import Callable
 from urllib import parse as url_parse
 
 from returns import result
@@ -48,6 +49,9 @@
 #: blocks.
 _MAX_LOOP_PASSES = 120
 
+#: Returns whether the answer to a call from a source is lost.
+AnswerFilter = Callable[[str, http_client.Call], bool]
+
 
 class DelayedMessage:
     """A message that the network delays until a test releases it."""
@@ -63,7 +67,8 @@
 
     `cut_links` has pairs of source and target; messages from such a source to
     its target are lost. The next answer of each target in
-    `lose_next_answer_of` is lost. The next message to each target in
+    `lose_next_answer_of` is lost, and each answer for which `loses_answer` is
+    true, given the source and the call. The next message to each target in
     `delay_next_message_to` is delayed and added to `delayed_messages`.
     """
 
@@ -72,6 +77,7 @@
         self.routes_by_name: dict[str, http_server.Routes] = {}
         self.cut_links: set[tuple[str, str]] = set()
         self.lose_next_answer_of: set[str] = set()
+        self.loses_answer: AnswerFilter = lambda _source, _call: False
         self.delay_next_message_to: set[str] = set()
         self.delayed_messages: list[DelayedMessage] = []
 
@@ -109,7 +115,9 @@
         if target in self.lose_next_answer_of:
             self.lose_next_answer_of.discard(target)
             return result.Failure(http_client.LinkFailure.BROKEN)
-        if (target, source) in self.cut_links:
+        if (target, source) in self.cut_links or self.loses_answer(
+            source, call
+        ):
             return result.Failure(http_client.LinkFailure.TIMED_OUT)
         return result.Success(
             http_client.Reply(
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -4,12 +4,15 @@
 import dataclasses
 import unittest
 from unittest import mock
+from urllib import parse as url_parse
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from lentilgauge.contracts import holder, lessor
+from lentilgauge.links import http_client, state_messages
+from lentilgauge.standins import store as store_module
 from lentilgauge.vms import terms, witnesses
 from tests import controller_model
 
@@ -142,20 +145,74 @@
     """Explore the model from a fixed seed, so that each run is the same."""
 
 
-async def lose_answers_of_term_writes() -> controller_model.Model:
-    """Lose platform answers while terms of a stopped controller are reopened.
+class LostTermWrites:
+    """The first write of each term record by each controller gets no answer.
 
-    In each round, the first answer of the platform is lost.
+    Nor do the reads by which the controller would learn its outcome.
     """
-    model = await start_model()
-    stopped = model.controllers.pop(0)
+
+    def __init__(self, *, store: store_module.Store) -> None:
+        """Lose no answer yet of the store that the writes go to."""
+        self.store = store
+        self.first_term_by_upstream = self.read_terms()
+        self.written: set[tuple[str, str]] = set()
+        self.resolving: set[tuple[str, str]] = set()
+        self.lost_term_by_upstream: dict[str, int] = {}
+
+    def loses_answer(self, source: str, call: http_client.Call) -> bool:
+        """Return whether the answer to a call is lost."""
+        name = url_parse.urlsplit(call.url).path.removeprefix('/objects/')
+        if not name.startswith(state_messages.TERM_PREFIX):
+            # Reading the record back ends before the next watch.
+            self.resolving = {
+                pair for pair in self.resolving if pair[0] != source
+            }
+            return False
+        if call.method == 'PUT' and (source, name) not in self.written:
+            self.written.add((source, name))
+            self.resolving.add((source, name))
+            self.note_opened_term(name.removeprefix(state_messages.TERM_PREFIX))
+        return (source, name) in self.resolving
+
+    def read_terms(self) -> dict[str, int]:
+        """Read the recorded terms from the store, by upstream."""
+        return {
+            name.removeprefix(state_messages.TERM_PREFIX): int(
+                str(stored.body['term'])
+            )
+            for name, stored in self.store.object_by_name.items()
+            if name.startswith(state_messages.TERM_PREFIX)
+        }
+
+    def note_opened_term(self, upstream_id: str) -> None:
+        """Note a term that its controller has opened without learning of it."""
+        term = self.read_terms()[upstream_id]
+        if term > self.first_term_by_upstream[upstream_id]:
+            self.lost_term_by_upstream.setdefault(upstream_id, term)
+
+
+async def lose_answers_of_term_writes(
+    model: controller_model.Model,
+) -> tuple[dict[str, int], list[str]]:
+    """Stop a controller that holds terms; lose answers as others open them.
+
+    Return the terms that were opened so, by upstream, and the slots that had
+    two owners at any time.
+    """
+    stopped = next(
+        candidate
+        for candidate in model.controllers
+        if terms.holds_term(candidate, controller_model.name_upstream(1))
+    )
+    model.controllers.remove(stopped)
     model.network.routes_by_name.pop(stopped.vm_id)
-    for _ in range(40):
-        model.network.lose_next_answer_of.add(controller_model.PLATFORM)
+    lost_writes = LostTermWrites(store=model.store)
+    model.network.loses_answer = lost_writes.loses_answer
+    doubly_owned = []
+    for _ in range(70):
         await model.run_all_controllers()
-    model.network.lose_next_answer_of.clear()
-    await model.run_all_controllers(30)
-    return model
+        doubly_owned += model.list_doubly_owned_slots()
+    return lost_writes.lost_term_by_upstream, doubly_owned
 
 
 async def delay_a_renewal() -> list[str]:
@@ -288,11 +345,18 @@
 
         It must open another one then, or the upstream stays without leases.
         """
-        model = await lose_answers_of_term_writes()
+        model = await start_model()
+        term_by_upstream, doubly_owned = await lose_answers_of_term_writes(
+            model
+        )
+        self.assertTrue(term_by_upstream)
+        for upstream_id, lost_term in term_by_upstream.items():
+            body = model.store.object_by_name[f'term/{upstream_id}'].body
+            self.assertGreater(body['term'], lost_term)
         self.assertEqual(
             model.count_served_slots(), controller_model.SLOT_COUNT
         )
-        self.assertEqual(model.list_doubly_owned_slots(), [])
+        self.assertEqual(doubly_owned, [])
         model.close()
 
     async def test_slots_of_a_stopped_upstream_are_served_by_others(
