Judge the queue of a frozen server by the ownership it was sent under

Cause, in the test: of the requests that waited at the frozen upstream all were refused (lease_lapsed, epoch 5). 180 ms after the thaw the upstream had a new lease and the slot again, and the fourth attempt of a refused request ran there under epoch 12. The test took every attempt of a request for one that had waited.

It now reads the epoch of the slot map once the frozen upstream has lost its slots, and asserts that no attempt sent under an epoch up to it ran. All requests that were sent before the thaw have such an epoch, and any slot that the upstream gets later has a later one. That no request ran twice and no slot had two owners is checked as before.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -77,6 +77,15 @@
             if upstream_status.id == upstream_id
         )
 
+    async def get_map_epoch(self, system, service: str) -> int:
+        """Return the epoch of a service's slot map, as a VM reports it."""
+        message = await self.get_status(system)
+        return next(
+            service_status.epoch
+            for service_status in message.services
+            if service_status.name == service
+        )
+
     async def read_term(
         self, system, upstream_id: str
     ) -> state_messages.TermBody:
@@ -216,6 +225,7 @@
 
             sending, key_prefix = await self.freeze_with_queue(system, frozen)
             await wait_for(has_lost_all_slots)
+            lost_epoch = await self.get_map_epoch(system, 'cases')
             cluster.send_signal(system.cluster, frozen, signal.SIGCONT)
             await sending
             self.assertEqual(
@@ -228,9 +238,10 @@
                 for journal_line in lines
                 if journal_line.upstream_id == frozen
                 and journal_line.idempotency_key.startswith(f'{key_prefix}-')
+                and journal_line.epoch <= lost_epoch
             ]
             # Requests that waited at the upstream while it was frozen must be
-            # rejected as not run.
+            # rejected as not run. Any slot that it got later has a later epoch.
             self.assertTrue(journalled_reasons)
             self.assertTrue(all(journalled_reasons), journalled_reasons)
             self.check_journals(system)
