Test a restart after a release to a superseded granter's successor

Two upstreams hold a key at once, and the key's fencing token falls, if an upstream ends just after it has released the key to a successor and starts again under its id while the former granter is still within its grace.

Cause: an accepted release ends the wait for its upstream at once. It binds only the process that accepted it, by the token that this remembers. The next process of that id remembers none and accepts a renewal from the former granter, which sends orders for up to its grace after its last confirmation.

--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 
 import loguru
 import msgspec
@@ -10,6 +11,7 @@
 from lentilgauge.contracts import grant_timing, ownership
 from lentilgauge.links import http_server, peer_link, store_link
 from lentilgauge.services import key_ranges
+from lentilgauge.upstreams import upstream_state
 from lentilgauge.vms import granter_state, key_assignment
 from tests import (
     gateway_fixtures,
@@ -35,6 +37,15 @@
     )
 
 
+async def wait_until(is_met: Callable[[], bool]) -> None:
+    """Wait until a condition is met; fail after 5 s of virtual time."""
+    for _ in range(5000):
+        if is_met():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError('the condition was not met')
+
+
 class SuccessionTest(unittest.TestCase):
     """A successor waits for every grant that may still last."""
 
@@ -150,6 +161,39 @@
 
         virtual_time.run_and_close(loop, take_over())
 
+    def test_a_restart_after_a_release_admits_no_superseded_granter(
+        self,
+    ) -> None:
+        """Guard against a renewal to a process that remembers no tokens.
+
+        Its granter has been superseded, but is within its grace period.
+        """
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def restart_after_release() -> None:
+            await test_granting_model.start_all_vms(model)
+            await asyncio.sleep(1)
+            granter = test_granting_model.pick_granter(model)
+            for vm in model.vm_names:
+                if vm != granter:
+                    model.cut_links |= {(granter, vm), (vm, granter)}
+            await wait_until(
+                lambda: len(granting_model.find_granters(model)) == 2
+            )
+            model.store.unreachable_for.add(granter)
+            upstream = model.upstream_by_name['u1']
+            upstream.state = upstream_state.State.DRAINING
+            model.announce(upstream)
+            await wait_until(lambda: not upstream.list_live_holds())
+            model.kill_upstream('u1', listed=True)
+            model.start_upstream('u1')
+            await asyncio.sleep(7)
+            self.assertEqual(model.count_held_keys(), key_ranges.KEY_COUNT)
+
+        virtual_time.run_and_close(loop, restart_after_release())
+        self.assertEqual(model.violations, [])
+
     def test_restarted_vms_suppose_an_outage_before_their_start(self) -> None:
         """Guard against VMs that forget by a restart that holds are long."""
         loop = virtual_time.VirtualLoop()
