Have keys released at the address where they were granted

The first one held: a grant gives keys to whichever process takes it at an address, but the wait for an earlier holder was kept by the upstream's id, and the release went to the address that the id had by then. A process that held nothing accepted it, and its answer ended the wait for the hold of the other.

Now an assignment names one address. Its grants are sent there only; a holder that is known elsewhere is assigned its keys anew first. Previous holders are kept by id and address, and releases go to that address, so an answer speaks for the process that may have taken the grant. Rows of earlier versions end before them, and earlier versions skip them; keys of such rows are released at the known address, as before.

Weighed against it: to remember all addresses of unexpired grants for a range, with an end each. The record would have to be written before each renewal at a new address, which is what a new assignment does already. To wait out each restart at another address: exchanges would cost a hold.

Tests: the traced case and a handover amid it failed before, both with "two holders" in the model; a test bounds what the one dearer case costs. Tests that named previous holders by id name them by id and address, and check the record's addresses too.

--- a/src/lentilgauge/contracts/ownership.py
+++ b/src/lentilgauge/contracts/ownership.py
@@ -23,7 +23,9 @@
     milliseconds. `fence` is the fencing token of the assignment and
     `release_fence` that of the releases; grants have higher tokens, which
     aren't recorded. `earlier` names previous holders that may still hold the
-    keys.
+    keys. `address` is where grants of the assignment are sent, and
+    `earlier_addresses` where those to each of the previous holders were.
+    Records of earlier versions end before these two.
     """
 
     start: int
@@ -34,6 +36,8 @@
     fence: int
     served: bool
     earlier: tuple[str, ...] = ()
+    address: str = ''
+    earlier_addresses: tuple[str, ...] = ()
 
 
 class Granter(msgspec.Struct, frozen=True, kw_only=True):
@@ -159,6 +163,7 @@
 
 
 def _pack_range(key_range: key_ranges.KeyRange) -> RangeRow:
+    previous_holders = tuple(key_range.hold_end_ms_by_previous_holder)
     return RangeRow(
         start=key_range.start,
         end=key_range.end,
@@ -167,7 +172,11 @@
         release_fence=key_range.release_fence,
         fence=key_range.fence,
         served=key_range.served,
-        earlier=tuple(key_range.hold_end_ms_by_previous_holder),
+        earlier=tuple(previous.upstream_id for previous in previous_holders),
+        address=key_range.address,
+        earlier_addresses=tuple(
+            previous.address for previous in previous_holders
+        ),
     )
 
 
@@ -203,15 +212,26 @@
 
 
 def _unpack_range(row: RangeRow, serial: int) -> key_ranges.KeyRange:
+    earlier_addresses = row.earlier_addresses
+    if len(earlier_addresses) != len(row.earlier):
+        # The row was written by an earlier version.
+        earlier_addresses = ('',) * len(row.earlier)
+    previous_holders = [
+        key_ranges.Grantee(upstream_id=upstream_id, address=address)
+        for upstream_id, address in zip(
+            row.earlier, earlier_addresses, strict=True
+        )
+    ]
     return key_ranges.KeyRange(
         start=row.start,
         end=row.end,
         holder=row.holder,
+        address=row.address,
         incarnation=row.life,
         release_fence=row.release_fence,
         fence=row.fence,
         served=row.served,
-        hold_end_ms_by_previous_holder=dict.fromkeys(row.earlier, 0),
+        hold_end_ms_by_previous_holder=dict.fromkeys(previous_holders, 0),
         serial=serial,
     )
 
--- a/src/lentilgauge/services/key_ranges.py
+++ b/src/lentilgauge/services/key_ranges.py
@@ -4,7 +4,8 @@
 has one holder: the upstream to which it is assigned, and which serves it once
 it has been granted. `hold_end_ms_by_previous_holder` lists previous holders
 whose right to the range may not have ended yet; until every such right has
-ended, no upstream serves the range.
+ended, no upstream serves the range. A previous holder is whichever process
+accepted the grants at the address to which they were sent.
 """
 
 import bisect
@@ -17,17 +18,31 @@
 KEY_COUNT = LAST_KEY + 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Grantee:
+    """Where grants of a range are sent: an upstream's id and an address.
+
+    `address` is empty if it isn't known, as records of earlier versions don't
+    have it.
+    """
+
+    upstream_id: str
+    address: str = ''
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class KeyRange:
     """One range of keys, both ends included, with its holder.
 
     `incarnation` is the start time of the holder's process, which tells its
-    incarnations apart. `served` is whether the holder has been granted the
-    range and so may get requests for it. `hold_end_ms` is when the holder's
-    right ends unless it is renewed, or 0 if the holder has no grant.
-    `hold_end_ms_by_previous_holder` has that time for each previous holder that
-    may still hold the keys. Both are on the granter's clock and known to the
-    granter only, as is `renewal_due_ms`, when the next grant is due.
+    incarnations apart. `address` is the only address to which grants of the
+    assignment are sent, or empty if it isn't known. `served` is whether the
+    holder has been granted the range and so may get requests for it.
+    `hold_end_ms` is when the holder's right ends unless it is renewed, or 0 if
+    the holder has no grant. `hold_end_ms_by_previous_holder` has that time for
+    each previous holder that may still hold the keys. Both are on the granter's
+    clock and known to the granter only, as is `renewal_due_ms`, when the next
+    grant is due.
 
     `fence` is the fencing token of the assignment to the holder,
     `release_fence` that of the releases sent to previous holders. Each grant
@@ -41,6 +56,7 @@
     start: int
     end: int
     holder: str = ''
+    address: str = ''
     incarnation: int = 0
     fence: int = 0
     release_fence: int = 0
@@ -48,7 +64,7 @@
     served: bool = False
     hold_end_ms: int = 0
     renewal_due_ms: int = 0
-    hold_end_ms_by_previous_holder: dict[str, int] = dataclasses.field(
+    hold_end_ms_by_previous_holder: dict[Grantee, int] = dataclasses.field(
         default_factory=dict,
     )
     handover: str = ''
@@ -152,6 +168,7 @@
         return False
     return (
         (left.holder, left.incarnation) == (right.holder, right.incarnation)
+        and left.address == right.address
         and left.served
         and right.served
     )
@@ -183,7 +200,7 @@
 
 def reassign_range(
     key_range: KeyRange,
-    holder: str,
+    grantee: Grantee,
     incarnation: int,
     allocate_fence: Callable[[], int],
 ) -> None:
@@ -193,11 +210,15 @@
     keys has released them, or its right has ended.
     """
     if key_range.holder and key_range.hold_end_ms:
-        key_range.hold_end_ms_by_previous_holder[key_range.holder] = max(
+        previous = Grantee(
+            upstream_id=key_range.holder, address=key_range.address
+        )
+        key_range.hold_end_ms_by_previous_holder[previous] = max(
             key_range.hold_end_ms,
-            key_range.hold_end_ms_by_previous_holder.get(key_range.holder, 0),
+            key_range.hold_end_ms_by_previous_holder.get(previous, 0),
         )
-    key_range.holder = holder
+    key_range.holder = grantee.upstream_id
+    key_range.address = grantee.address
     key_range.incarnation = incarnation
     key_range.release_fence = allocate_fence()
     key_range.fence = allocate_fence()
@@ -208,6 +229,14 @@
     key_range.first_refused_ms = 0
 
 
+def may_be_held_by(key_range: KeyRange, upstream_id: str) -> bool:
+    """Return whether an upstream is the holder or a previous holder."""
+    return upstream_id == key_range.holder or any(
+        upstream_id == previous.upstream_id
+        for previous in key_range.hold_end_ms_by_previous_holder
+    )
+
+
 def insert_ranges(
     range_table: RangeTable, inserted_ranges: Iterable[KeyRange]
 ) -> None:
--- a/src/lentilgauge/vms/key_assignment.py
+++ b/src/lentilgauge/vms/key_assignment.py
@@ -160,7 +160,7 @@
     # renewal since, so it has to release the keys like any other holder.
     key_ranges.reassign_range(
         key_range,
-        upstream.id,
+        key_ranges.Grantee(upstream_id=upstream.id, address=upstream.address),
         upstream.incarnation,
         lambda: ownership_module.allocate_fence(granter_state.ownership),
     )
@@ -212,7 +212,9 @@
     """
     holder = eligible.get(key_range.holder)
     if holder is not None:
-        return key_range.incarnation == holder.incarnation
+        return key_range.incarnation == holder.incarnation and (
+            key_range.address in {holder.address, ''}
+        )
     if key_range.holder in granter_state.gateway.state_cache.upstream_by_id:
         return False
     waited_ms = (
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Coroutine
 
 from lentilgauge import clock, events
@@ -13,6 +14,7 @@
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import upstream_link
 from lentilgauge.services import key_ranges
+from lentilgauge.upstreams import upstream_state
 from lentilgauge.vms import granter_state as granter_state_module
 from lentilgauge.vms import record_writer, store_watch
 
@@ -144,8 +146,8 @@
     earlier_holders = list(key_range.hold_end_ms_by_previous_holder)
     await asyncio.gather(
         *(
-            _wait_until_released(granter_state, key_range, upstream_id)
-            for upstream_id in earlier_holders
+            _wait_until_released(granter_state, key_range, previous)
+            for previous in earlier_holders
         ),
     )
     while key_range.fence == fence and granter_state_module.may_send_orders(
@@ -166,35 +168,35 @@
 async def _wait_until_released(
     granter_state: granter_state_module.GranterState,
     key_range: key_ranges.KeyRange,
-    upstream_id: str,
+    previous: key_ranges.Grantee,
 ) -> None:
     """Wait until an earlier holder's grant is released or has expired."""
-    while not _has_grant_expired(granter_state, key_range, upstream_id):
+    while not _has_grant_expired(granter_state, key_range, previous):
         if granter_state_module.may_send_orders(granter_state):
-            reply = await _send_release(granter_state, key_range, upstream_id)
+            reply = await _send_release(granter_state, key_range, previous)
             if reply.answer in _RELEASING_ANSWERS:
                 key_range.handover = reply.handover or key_range.handover
                 break
         await asyncio.sleep(clock.to_seconds(_ORDER_RETRY_MS))
-    key_range.hold_end_ms_by_previous_holder.pop(upstream_id, None)
+    key_range.hold_end_ms_by_previous_holder.pop(previous, None)
 
 
 def _has_grant_expired(
     granter_state: granter_state_module.GranterState,
     key_range: key_ranges.KeyRange,
-    upstream_id: str,
+    previous: key_ranges.Grantee,
 ) -> bool:
     """Return whether an earlier holder's grant has certainly expired."""
-    return _measure_remaining_ms(granter_state, key_range, upstream_id) <= 0
+    return _measure_remaining_ms(granter_state, key_range, previous) <= 0
 
 
 def _measure_remaining_ms(
     granter_state: granter_state_module.GranterState,
     key_range: key_ranges.KeyRange,
-    upstream_id: str,
+    previous: key_ranges.Grantee,
 ) -> int:
     """Return how long an earlier holder's grant of a range may still last."""
-    end_ms = key_range.hold_end_ms_by_previous_holder.get(upstream_id)
+    end_ms = key_range.hold_end_ms_by_previous_holder.get(previous)
     if end_ms is None:
         return 0
     latest_end_ms = max(end_ms, granter_state.inherited_grants_end_ms)
@@ -204,25 +206,30 @@
 async def _send_release(
     granter_state: granter_state_module.GranterState,
     key_range: key_ranges.KeyRange,
-    upstream_id: str,
+    previous: key_ranges.Grantee,
 ) -> upstream_link.KeyReply:
-    upstream = granter_state.upstream_by_id.get(upstream_id)
+    """Send a release to the address to which the grants were sent.
+
+    The upstream may have moved since. What another process accepted there, in
+    its place, is released by that process only.
+    """
+    upstream = granter_state.upstream_by_id.get(previous.upstream_id)
     if upstream is None:
         return upstream_link.KeyReply(
             answer=upstream_link.OrderAnswer.SILENT,
         )
     return await granter_state.gateway.upstreams.release_keys(
         upstream_link.KeyOrder(
-            upstream=upstream,
+            upstream=dataclasses.replace(
+                upstream, address=previous.address or upstream.address
+            ),
             start=key_range.start,
             end=key_range.end,
             fence=key_range.release_fence,
             timeout_ms=min(
                 grant_timing.RELEASE_TIMEOUT_MS,
                 max(
-                    _measure_remaining_ms(
-                        granter_state, key_range, upstream_id
-                    ),
+                    _measure_remaining_ms(granter_state, key_range, previous),
                     1,
                 ),
             ),
@@ -230,6 +237,21 @@
     )
 
 
+def _find_holder(
+    granter_state: granter_state_module.GranterState,
+    key_range: key_ranges.KeyRange,
+) -> upstream_state.Upstream | None:
+    """Return the upstream that a range is assigned to.
+
+    Return `None` if it is known at another address than the recorded one: a
+    successor wouldn't look for a grant there.
+    """
+    upstream = granter_state.upstream_by_id.get(key_range.holder)
+    if upstream is None or key_range.address in {upstream.address, ''}:
+        return upstream
+    return None
+
+
 async def _send_grant(
     granter_state: granter_state_module.GranterState,
     key_range: key_ranges.KeyRange,
@@ -239,11 +261,12 @@
     Renewals too have a token of their own: the process that accepts one may
     have taken the place of the holder at its address.
     """
-    upstream = granter_state.upstream_by_id.get(key_range.holder)
+    upstream = _find_holder(granter_state, key_range)
     grant_fence = granter_state_module.take_fence(granter_state)
     if upstream is None or grant_fence is None:
         return upstream_link.OrderAnswer.SILENT
     key_range.granted_fence = grant_fence
+    key_range.address = upstream.address
     hold_ms = grant_timing.choose_hold_ms(
         outage=granter_state.store_outage,
         longest_ms=granter_state.gateway.bounds.max_hold_ms,
--- a/src/lentilgauge/vms/upstream_checks.py
+++ b/src/lentilgauge/vms/upstream_checks.py
@@ -85,8 +85,7 @@
     """
     range_table = granter_state.ownership.table_by_service.get(upstream.service)
     if range_table is None or any(
-        upstream.id == key_range.holder
-        or upstream.id in key_range.hold_end_ms_by_previous_holder
+        key_ranges.may_be_held_by(key_range, upstream.id)
         for key_range in range_table.ranges
     ):
         return None
--- a/tests/test_granting_model.py
+++ b/tests/test_granting_model.py
@@ -12,6 +12,7 @@
 
 from lentilgauge.links import peer_link
 from lentilgauge.services import key_ranges
+from lentilgauge.upstreams import upstream_state
 from lentilgauge.vms import granter_state as granter_state_module
 from lentilgauge.vms import granter_term, key_assignment, key_orders
 from tests import granting_model, virtual_time
@@ -546,3 +547,20 @@
             granter_state_module, 'may_send_orders', may_order
         ):
             self.assertIn('two holders', str(run_isolation().violations))
+
+    def test_granting_at_an_unrecorded_address_is_caught(self) -> None:
+        def find_holder(
+            state: granter_state_module.GranterState,
+            key_range: key_ranges.KeyRange,
+        ) -> upstream_state.Upstream | None:
+            return state.upstream_by_id.get(key_range.holder)
+
+        with mock.patch.object(key_orders, '_find_holder', find_holder):
+            seen_violation = any(
+                'two holders'
+                in str(
+                    run_random_faults(seed, exchanges_unchecked=True).violations
+                )
+                for seed in range(28, 60, 2)
+            )
+        self.assertTrue(seen_violation)
--- a/tests/test_key_ranges.py
+++ b/tests/test_key_ranges.py
@@ -15,6 +15,7 @@
     )
     for number, key_range in enumerate(range_table.ranges):
         key_range.holder = f'u{number}'
+        key_range.address = f'u{number}'
         key_range.served = True
         key_range.fence = number + 1
         key_range.hold_end_ms = 1000
@@ -34,6 +35,11 @@
         return self.last_fence
 
 
+def make_grantee(upstream_id: str) -> key_ranges.Grantee:
+    """Make a grantee whose address is its id."""
+    return key_ranges.Grantee(upstream_id=upstream_id, address=upstream_id)
+
+
 class KeyRangesTest(unittest.TestCase):
     """Ranges are split, merged and reassigned without losing a key."""
 
@@ -51,7 +57,7 @@
             self.assertEqual(split_ranges[0].start, first_key)
             self.assertEqual(split_ranges[-1].end, last_key)
             for key_range in split_ranges:
-                holder = f'u{generator.randint(0, 3)}'
+                holder = make_grantee(f'u{generator.randint(0, 3)}')
                 key_ranges.reassign_range(key_range, holder, 0, fences.allocate)
                 key_range.hold_end_ms_by_previous_holder.clear()
                 key_range.served = True
@@ -101,9 +107,13 @@
         range_table = make_table(2)
         key_range = range_table.ranges[0]
         previous_fence = key_range.fence
-        key_ranges.reassign_range(key_range, 'u1', 7, FenceAllocator().allocate)
+        key_ranges.reassign_range(
+            key_range, make_grantee('u1'), 7, FenceAllocator().allocate
+        )
         self.assertFalse(key_range.served)
-        self.assertEqual(key_range.hold_end_ms_by_previous_holder, {'u0': 1000})
+        self.assertEqual(
+            key_range.hold_end_ms_by_previous_holder, {make_grantee('u0'): 1000}
+        )
         self.assertTrue(
             previous_fence < key_range.release_fence < key_range.fence,
         )
@@ -113,7 +123,9 @@
         range_table = make_table(2)
         for key_range in range_table.ranges:
             key_range.holder = 'u0'
-        range_table.ranges[1].hold_end_ms_by_previous_holder['u1'] = 5
+            key_range.address = 'u0'
+        previous = make_grantee('u1')
+        range_table.ranges[1].hold_end_ms_by_previous_holder[previous] = 5
         self.assertFalse(
             key_ranges.merge_ranges(range_table, FenceAllocator().allocate)
         )
@@ -187,7 +199,7 @@
         for key_range in moved_ranges:
             key_ranges.reassign_range(
                 key_range,
-                key_move.target,
+                make_grantee(key_move.target),
                 0,
                 self.fences.allocate,
             )
--- a/tests/test_ownership_replication.py
+++ b/tests/test_ownership_replication.py
@@ -152,13 +152,40 @@
         """Guard against ownership that a new granter can't restore."""
         owned = ownership.Ownership(term=2, serial=5, vms=('a', 'b'))
         ranges = key_ranges.split_key_space(3)
-        ranges[1].hold_end_ms_by_previous_holder['u9'] = 77
+        ranges[0].address = 'a:1'
+        previous_holders = {
+            key_ranges.Grantee(upstream_id='u9', address='a:2'): 77,
+            key_ranges.Grantee(upstream_id='u9', address='a:3'): 78,
+        }
+        ranges[1].hold_end_ms_by_previous_holder.update(previous_holders)
         owned.table_by_service['s'] = key_ranges.make_table(ranges)
         record = ownership.make_record(owned)
         decoded = ownership.make_ownership(record)
         self.assertEqual(ownership.make_record(decoded), record)
+        restored = decoded.table_by_service['s'].ranges
+        self.assertEqual(restored[0].address, 'a:1')
+        self.assertEqual(
+            restored[1].hold_end_ms_by_previous_holder.keys(),
+            previous_holders.keys(),
+        )
         self.assertIsNone(ownership.parse_record({'term': 'x'}))
 
+    def test_a_row_without_addresses_is_read(self) -> None:
+        """Guard against records of earlier versions that can't be read."""
+        row = [0, 65_535, 'u0', 7, 3, 4, False, ['u8', 'u9']]
+        record = ownership.parse_record({'rows_by_service': {'s': [row]}})
+        assert record is not None
+        owned = ownership.make_ownership(record)
+        key_range = owned.table_by_service['s'].ranges[0]
+        self.assertEqual(key_range.address, '')
+        self.assertEqual(
+            list(key_range.hold_end_ms_by_previous_holder),
+            [
+                key_ranges.Grantee(upstream_id='u8'),
+                key_ranges.Grantee(upstream_id='u9'),
+            ],
+        )
+
 
 class ColdShareTest(unittest.TestCase):
     """The requests per second that an upstream in cold start is sent."""
--- a/tests/test_restarted_holders.py
+++ b/tests/test_restarted_holders.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import loguru
+import msgspec
 
 from lentilgauge.contracts import ownership
 from lentilgauge.services import key_ranges
@@ -31,6 +32,45 @@
     return model
 
 
+def exchange_addresses(
+    model: granting_model.Model, first: str, second: str, delay_s: float
+) -> None:
+    """Restart two upstreams at each other's address, under their ids.
+
+    The process at the first address announces itself at once, the other one
+    after a delay in seconds.
+    """
+    for name in (first, second):
+        model.kill_upstream(name, listed=True)
+    model.start_upstream(first, upstream_id=second)
+    model.start_upstream(second, upstream_id=first, announced_after=delay_s)
+
+
+def hand_over_amid_exchange() -> granting_model.Model:
+    """Have a granter hand over before it could release a renewal's keys.
+
+    Another process has accepted the renewal at the holder's former address.
+    """
+    loop = virtual_time.VirtualLoop()
+    model = granting_model.Model(loop, 1)
+    model.checks_expected_ids = False
+
+    async def exchange_and_hand_over() -> None:
+        await test_granting_model.start_all_vms(model)
+        await asyncio.sleep(2)
+        exchange_addresses(model, 'u5', 'u1', 0.9)
+        await asyncio.sleep(0.89)
+        granter = test_granting_model.pick_granter(model)
+        model.cut_links.add((granter, 'u5'))
+        await asyncio.sleep(0.21)
+        model.store.unreachable_for.add(granter)
+        await asyncio.sleep(1)
+        assert await model.wait_until_all_keys_held(1)
+
+    virtual_time.run_and_close(loop, exchange_and_hand_over())
+    return model
+
+
 class RestartedHoldersTest(unittest.TestCase):
     """A key moves to another process under a higher fencing token only."""
 
@@ -107,6 +147,57 @@
         virtual_time.run_and_close(loop, exchange_addresses())
         self.assertEqual(model.violations, [])
 
+    def test_a_release_elsewhere_frees_no_key_of_a_renewal(self) -> None:
+        """Guard against a release that doesn't reach the renewal's process."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+        model.checks_expected_ids = False
+
+        async def exchange_between_renewals() -> None:
+            await test_granting_model.start_all_vms(model)
+            await asyncio.sleep(2)
+            exchange_addresses(model, 'u5', 'u1', 0.9)
+            await asyncio.sleep(1)
+            self.assertEqual(model.violations, [])
+            self.assertTrue(await model.wait_until_all_keys_held(0.5))
+
+        virtual_time.run_and_close(loop, exchange_between_renewals())
+        self.assertEqual(model.violations, [])
+
+    def test_a_successor_has_keys_released_where_they_were_granted(
+        self,
+    ) -> None:
+        """Guard against a record without the addresses of grants."""
+        model = hand_over_amid_exchange()
+        self.assertEqual(model.violations, [])
+
+    def test_forgetting_where_keys_were_granted_is_caught(self) -> None:
+        """Mutation test: the model sees a release at another address."""
+        pack_range = ownership._pack_range
+
+        def pack_ids_only(key_range: key_ranges.KeyRange) -> ownership.RangeRow:
+            return msgspec.structs.replace(
+                pack_range(key_range), address='', earlier_addresses=()
+            )
+
+        with mock.patch.object(ownership, '_pack_range', pack_ids_only):
+            model = hand_over_amid_exchange()
+        self.assertIn('two holders', str(model.violations))
+
+    def test_a_holder_at_a_new_address_waits_for_one_hold(self) -> None:
+        """Guard against keys that wait for an address that nothing uses."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def move_process() -> None:
+            await test_granting_model.start_all_vms(model)
+            model.kill_upstream('u1', listed=True)
+            model.start_upstream('u9', upstream_id='u1')
+            self.assertTrue(await model.wait_until_all_keys_held(3))
+
+        virtual_time.run_and_close(loop, move_process())
+        self.assertEqual(model.violations, [])
+
     def test_silence_before_a_restart_excludes_no_new_process(self) -> None:
         """Guard against an upstream without keys for the rest of a term."""
         loop = virtual_time.VirtualLoop()
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -299,7 +299,9 @@
             end=9,
             holder='u0',
             hold_end_ms=clock.now_ms + grant_timing.DEFAULT_HOLD_MS,
-            hold_end_ms_by_previous_holder={'u1': clock.now_ms + 9000},
+            hold_end_ms_by_previous_holder={
+                key_ranges.Grantee(upstream_id='u1'): clock.now_ms + 9000
+            },
         )
         state.ownership.table_by_service['s'] = key_ranges.make_table(
             [key_range]
