Count a follower from the reply that it names, not the last one sent

Cause: a granter counted a VM as a follower since its last reply to that VM, because the VM asks again only after it has received the reply. That is wrong once a question times out: the VM gives it up and asks again on another connection. If a partition holds both up and heals later, the granter answers the first, and takes the second, sent as long ago, for proof that the VM follows it since that answer. The VM may follow a successor by then, which counts on the granter's stopping 1.2 s after half of the VMs followed the successor; the granter's right would last 1.2 s from the heal instead.

Hypothesis: the reply has to be named by the question. A follower now names the last reply that it received, by the replying process and its time there, and only that time counts. An earlier process at the address proves nothing.

Evidence: test_questions_that_arrive_late_prove_nothing_newer failed before with "1010000 != 1000000" (questions held up for 10 s), and test_a_reply_of_an_earlier_granter_proves_nothing with "1000000 is not None". Both pass now. test_succession and test_granting_model have their known red entries and no other failure.

During a rolling update, VMs of the earlier version name no reply and don't extend the right of a granter of this one in a store outage.

--- a/src/lentilgauge/links/peer_link.py
+++ b/src/lentilgauge/links/peer_link.py
@@ -136,6 +136,23 @@
     failing: bool = False
 
 
+class ReplyReceipt(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    omit_defaults=True,
+):
+    """Which reply a follower last received.
+
+    `incarnation` is that of the process that sent the reply, and `replied_ms`
+    the time of the reply on that process's clock.
+    """
+
+    incarnation: str
+    replied_ms: int
+
+
 class FollowMessage(
     msgspec.Struct,
     frozen=True,
@@ -152,7 +169,8 @@
     report, as the process before it may have sent one. The reply may be delayed
     by up to `wait_ms`. `peers_digest` is the checksum of the live peers that
     the follower knows, without the VM to which it sends the request.
-    `suspicion_by_upstream` has what the follower itself suspects.
+    `suspicion_by_upstream` has what the follower itself suspects. `receipt`
+    names the last reply that the follower received from any VM.
     """
 
     peer: Peer
@@ -164,6 +182,7 @@
     outage_age_ms: int | None = None
     report: Report = Report()
     suspicion_by_upstream: dict[str, SuspicionMessage] = {}
+    receipt: ReplyReceipt | None = None
 
 
 class ViewMessage(
@@ -199,6 +218,7 @@
     ownership, if there are any. `peers` are the live peers of the replying VM,
     or `None` if the digest in the request shows that the follower knows them.
     `suspicion_by_upstream` has what VMs suspect that the replying one knows of.
+    `replied_ms` is the time of the reply on the replying VM's clock.
     """
 
     view: ViewMessage
@@ -206,6 +226,7 @@
     news: ownership.OwnershipDelta | None = None
     peers: list[Peer] | None = None
     suspicion_by_upstream: dict[str, SuspicionMessage] = {}
+    replied_ms: int = 0
 
 
 class StoreAccessMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -91,7 +91,8 @@
     metric label of their own.
 
     `pending_reports` are the VMs' reports that this granter hasn't applied yet.
-    `replied_ms_by_vm` is when this VM last replied to each follower.
+    `replied_ms_by_vm` is when this VM last replied to each follower, and
+    `receipt` names the last reply that this VM has received as a follower.
     `suspicion_serial` counts the suspicions of restarts that are passed on, and
     `suspicion_serial_by_vm` has its value in the last reply to each follower.
     `predecessor_term` is the term of the granter that asked this VM to take
@@ -155,6 +156,7 @@
         default_factory=dict
     )
     replied_ms_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
+    receipt: peer_link.ReplyReceipt | None = None
     suspicion_serial: int = 0
     suspicion_serial_by_vm: dict[str, int] = dataclasses.field(
         default_factory=dict
@@ -318,24 +320,25 @@
 
 
 def record_followed_term(
-    gateway: Gateway,
-    peer: peer_link.Peer,
-    term: int,
+    gateway: Gateway, message: peer_link.FollowMessage
 ) -> None:
     """Record that a VM follows a term.
 
-    The VM's request may have been delayed in transit, but the VM sent it after
-    the previous reply to that VM had left this one. So the VM followed the term
-    at some time after that reply, whose time is recorded instead of the time of
-    the request's arrival.
+    The VM's request may have been delayed in transit, and so may others that
+    the VM has given up since. But the VM sent it after it had received the
+    reply that it names. So the VM followed the term at some time after that
+    reply, whose time is recorded instead of the time of the request's arrival.
     """
-    replied_ms = gateway.replied_ms_by_vm.get(peer.vm)
-    if replied_ms is not None:
-        gateway.followed_term_by_vm[peer.vm] = FollowedTerm(
-            term=term,
-            incarnation=peer.incarnation,
-            followed_after_ms=replied_ms,
-        )
+    receipt = message.receipt
+    if receipt is None or (
+        receipt.incarnation != gateway.local_peer.incarnation
+    ):
+        return
+    gateway.followed_term_by_vm[message.peer.vm] = FollowedTerm(
+        term=message.term,
+        incarnation=message.peer.incarnation,
+        followed_after_ms=receipt.replied_ms,
+    )
 
 
 def get_outage_report_age_ms(gateway: Gateway) -> int | None:
--- a/src/lentilgauge/vms/granter_following.py
+++ b/src/lentilgauge/vms/granter_following.py
@@ -113,6 +113,7 @@
         outage_age_ms=gateway_module.get_outage_report_age_ms(gateway),
         report=gateway_module.collect_report(gateway),
         suspicion_by_upstream=suspicion_sharing.pack_own(gateway),
+        receipt=gateway.receipt,
     )
     reply_outcome = await peer_link.call_peer(
         gateway.client,
@@ -139,6 +140,9 @@
 ) -> None:
     """Apply the newer state in another VM's reply."""
     gateway_module.record_peer(gateway, reply.view.peer)
+    gateway.receipt = peer_link.ReplyReceipt(
+        incarnation=reply.view.peer.incarnation, replied_ms=reply.replied_ms
+    )
     _record_known_peers(gateway, reply)
     state_cache = gateway.state_cache
     for topic, section in reply.section_by_topic.items():
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -110,7 +110,7 @@
     The reply waits for a change, but no longer than the follower asks for.
     """
     gateway_module.record_peer(gateway, message.peer)
-    gateway_module.record_followed_term(gateway, message.peer, message.term)
+    gateway_module.record_followed_term(gateway, message)
     if message.outage_age_ms is not None:
         reported_ms = gateway.now_ms() - message.outage_age_ms
         gateway.outage_reported_ms_by_vm[message.peer.vm] = reported_ms
@@ -196,6 +196,7 @@
         suspicion_by_upstream=suspicion_sharing.pack_shared(
             gateway, message.peer.vm
         ),
+        replied_ms=gateway.replied_ms_by_vm[message.peer.vm],
     )
 
 
