Accept no reply whose head leaves the body's length unknown

What callers see: a body that is cut short, answered as a success.

Cause: curl ignores a Content-Length with too many digits, one with a space before its colon, and one beside "Transfer-Encoding: identity", and then reads until the connection ends, so that any cut looks like the end. It also takes "HTTP/1.1 2000 OK" and "HTTP/1.1 200OK" for a status of 200. It rejects two lengths that differ, lists, signs and other text by itself, and unknown transfer encodings.

Hypothesis: the head must be refused before curl's reading of it counts. Such a line now aborts the transfer, at every end that reads replies, as all share this client. Replies without any length stay valid, as the users' pages have them.

Evidence, with raw servers: in test_reply_lengths 8 checks failed before with "'status 200' not found in {'broken', 'invalid'}", one of them for a caller's request, with Proof.EXECUTED in place of UNKNOWN. All pass now; test_reply_framing, test_repeated_refusals and test_platform_adapter pass.

--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -25,7 +25,16 @@
 #: Bytes of the bodies of all replies that a client is receiving; VMs have 200
 #: to 300 MB.
 MAX_BUFFERED_BYTES = 33_554_432
-_STATUS_LINE = re.compile(rb'HTTP/\S+\s(\d{3})')
+_STATUS_LINE = re.compile(rb'HTTP/\S+\s(\d{3})(?!\S)')
+#: Header lines that don't say how long the body is, and other lines with a
+#: space before the colon. curl ignores them and reads until the connection
+#: ends, so that a body cut short would look complete.
+_UNUSABLE_LINE = re.compile(
+    rb'[^:\s]+[ \t]+:'
+    rb'|content-length:(?!\s*\d{1,18}\s*$)'
+    rb'|transfer-encoding:(?!\s*chunked\s*$)',
+    re.IGNORECASE,
+)
 #: Lines that end a head.
 _BLANK_LINES = frozenset((b'\r\n', b'\n'))
 #: Returned by curl's callbacks to abort the transfer.
@@ -169,10 +178,16 @@
     return None
 
 
-def _is_mismatched(
+def _is_unusable(
     line: bytes, expected_reply_header: tuple[str, str] | None
 ) -> bool:
-    """Check whether a header line has the expected name and another value."""
+    """Check whether a header line makes its reply unusable.
+
+    It does if it leaves the body's length unknown, or has the expected name
+    and another value.
+    """
+    if _UNUSABLE_LINE.match(line):
+        return True
     if expected_reply_header is None:
         return False
     expected_name, expected_value = expected_reply_header
@@ -189,8 +204,9 @@
 ) -> Callable[[bytes], int | None]:
     """Make the callback that collects the header lines of the final reply.
 
-    It aborts the transfer at a reply to another call, so that curl closes the
-    connection: later replies on it would be mismatched as well.
+    It aborts the transfer at a body of unknown length, and at a reply to
+    another call, so that curl closes the connection: later replies on it would
+    be mismatched as well.
     """
 
     def collect_line(line: bytes) -> int | None:
@@ -204,7 +220,7 @@
                 partial_reply.final_status = partial_reply.head_status
             partial_reply.head_status = 0
             return None
-        if _is_mismatched(line, expected_reply_header):
+        if _is_unusable(line, expected_reply_header):
             return _ABORT_TRANSFER
         partial_reply.header_lines.append(line)
         return None
