Have a VM whose takeover is unanswered say that it may grant

What callers saw: nothing; found by reading.

Cause: a successor takes an earlier granter for stopped once the same process says that it doesn't grant. A VM whose write of a term has taken effect, but isn't answered yet, said so too. It becomes granter by the answer, and may give grants until 1.2 s after it sent the write, which is later than the successor supposes by as long as it asked before that.

Hypothesis: the process must count as a granter from the write on. Its view now says so until the write has ended, with a term or without; only a successor's question goes by this, and the order in which VMs are followed.

Evidence: test_a_pending_granter_is_not_taken_for_one_that_stopped failed before with "False is not true" and passes now; test_succession and test_granting_model have their known red entries and no other failure.

A successor that asks in the first half second would be too early; with the usual longest hold of 10 s it isn't, unless half of the VMs come to follow it while it asks.

--- a/src/lentilgauge/links/peer_link.py
+++ b/src/lentilgauge/links/peer_link.py
@@ -195,7 +195,8 @@
     """A VM and the granter that it knows, with the granter's term.
 
     `age_ms` is how long ago the VM last heard of the granter, directly or
-    through another VM. `grants` is true if the VM itself is the granter.
+    through another VM. `grants` is true if the VM itself is the granter, or may
+    become it without another call to the store.
     """
 
     peer: Peer
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -95,6 +95,8 @@
     `receipt` names the last reply that this VM has received as a follower.
     `suspicion_serial` counts the suspicions of restarts that are passed on, and
     `suspicion_serial_by_vm` has its value in the last reply to each follower.
+    `takeover_pending` is whether this VM has sent the record of a term of its
+    own to the store, and may become granter by the answer.
     `predecessor_term` is the term of the granter that asked this VM to take
     over, and `predecessor_hold_ms` how long its grants may still last, as of
     its request; 0 if that is unknown or no granter has asked.
@@ -151,6 +153,7 @@
     )
     labelled_routes: set[str] = dataclasses.field(default_factory=set)
     is_granter: bool = False
+    takeover_pending: bool = False
     outage_reported_ms: int = 0
     outage_reported_ms_by_vm: dict[str, int] = dataclasses.field(
         default_factory=dict
@@ -251,7 +254,8 @@
 def make_view(gateway: Gateway) -> peer_link.ViewMessage:
     """Describe the granter that this VM knows, and when it was last heard of.
 
-    On the granter itself, the age of that information is 0.
+    On the granter itself, the age of that information is 0. A VM that may
+    become granter by an answer under way says that it grants.
     """
     current = gateway.state_cache.ownership
     age_ms = (
@@ -264,7 +268,7 @@
         term=current.term,
         granter=current.granter,
         age_ms=age_ms,
-        grants=gateway.is_granter,
+        grants=gateway.is_granter or gateway.takeover_pending,
     )
 
 
--- a/src/lentilgauge/vms/granter_following.py
+++ b/src/lentilgauge/vms/granter_following.py
@@ -310,7 +310,11 @@
     document = read_outcome.unwrap().document
     if document is not None and _apply_record(gateway, document):
         return None
-    return await granter_term.start_term(gateway, document)
+    gateway.takeover_pending = True
+    try:
+        return await granter_term.start_term(gateway, document)
+    finally:
+        gateway.takeover_pending = False
 
 
 def _apply_record(
