Take a heartbeat's reply only from the VM that it was sent to

What callers saw: nothing; found by reading, while looking for answers that the next process at an address gives in place of the one that was asked.

Cause: controllers took any reply at a VM's address for a sign of its life, also an error, or that of another VM's controller. A VM that is replaced by one with another id at its address thus stayed live for good, and the terms, slots and keys of idempotent requests that fall to it with it.

Hypothesis: a reply has to name the VM that gives it. Controllers now do so, and replies of others and errors count as none. A reply without a body still counts, as earlier versions send these; those ignore the body of this one.

Evidence: in test_heartbeats_at_reused_addresses two of four tests failed before with "True is not false" and pass now; the two that guard against losing VMs passed before too. test_ownership_model, test_record_witnesses and test_peer_relay pass.

--- a/src/lentilgauge/operators/http_routes.py
+++ b/src/lentilgauge/operators/http_routes.py
@@ -77,7 +77,7 @@
     async def answer_heartbeat(
         request: http_server.Request,
     ) -> http_server.Response:
-        return http_server.Response()
+        return membership.answer_heartbeat(controller)
 
     async def step_down(request: http_server.Request) -> http_server.Response:
         return settlement.answer_step_down(controller, request)
--- a/src/lentilgauge/vms/membership.py
+++ b/src/lentilgauge/vms/membership.py
@@ -1,11 +1,13 @@
 """Detect which VMs are live by heartbeats between their controllers."""
 
 import asyncio
+import http
 
+import pydantic
 from returns import result
 
 from lentilgauge import clock, logs
-from lentilgauge.links import http_client, state_messages
+from lentilgauge.links import http_client, http_server, state_messages
 from lentilgauge.services import placement
 from lentilgauge.vms import controller as controller_module
 from lentilgauge.vms import object_writes
@@ -16,6 +18,12 @@
 _LIVE = state_messages.VmState.LIVE
 
 
+class HeartbeatMessage(pydantic.BaseModel):
+    """Reply to a heartbeat: the VM whose controller sent it."""
+
+    vm_id: str
+
+
 def _make_object_name(vm_id: str) -> str:
     return f'{state_messages.VM_PREFIX}{vm_id}'
 
@@ -119,11 +127,37 @@
     return watchers
 
 
+def answer_heartbeat(
+    controller: controller_module.Controller,
+) -> http_server.Response:
+    """Reply to a heartbeat."""
+    return http_server.respond(HeartbeatMessage(vm_id=controller.vm_id))
+
+
+def _is_reply_of(reply: http_client.Reply, vm_id: str) -> bool:
+    """Check whether a VM's controller has replied to a heartbeat.
+
+    Those of earlier versions reply with an empty body.
+    """
+    if reply.status != http.HTTPStatus.OK:
+        return False
+    if not reply.body:
+        return True
+    try:
+        message = HeartbeatMessage.model_validate_json(reply.body)
+    except pydantic.ValidationError:
+        return False
+    return message.vm_id == vm_id
+
+
 async def _send_heartbeat(
     controller: controller_module.Controller,
     vm_id: str,
 ) -> bool:
-    """Send a heartbeat to a peer; return whether it replied."""
+    """Send a heartbeat to a peer; return whether it replied.
+
+    Another process may have taken the address of a peer that is gone.
+    """
     vm = controller.replica.vm_by_id[vm_id]
     response = await http_client.send_call(
         controller.client,
@@ -134,7 +168,9 @@
         ),
     )
     controller.metrics.count('peer_heartbeats')
-    return isinstance(response, result.Success)
+    return isinstance(response, result.Success) and _is_reply_of(
+        response.unwrap(), vm_id
+    )
 
 
 async def _check_peer(
