Free an idempotency key only for the request that reserved it

What callers saw: nothing; found by reading, while looking for messages that are applied to the next state under a name.

Cause: an outcome named its key alone. Entries send outcomes without `send_once`, so one may be delivered twice, or late after its sender has given it up. "Not run" then freed the key for good measure: if the caller's next request had reserved it meanwhile and was running, a third found the key unused and ran beside it.

Hypothesis: an outcome has to name the request that reserved the key, and that of another request is ignored. Messages of earlier versions name none, and match each other as before.

Evidence: test_a_repeated_outcome_frees_no_later_request_s_key failed before with "'fresh' is not 'running'" and passes now; test_idempotency (9 tests) passes.

--- a/src/lentilgauge/callers/idempotency.py
+++ b/src/lentilgauge/callers/idempotency.py
@@ -100,6 +100,7 @@
         digest=xxhash.xxh3_128_hexdigest(digest_input),
         run_ms=max(0, remaining_ms) + _OUTCOME_GRACE_MS,
         keep_ms=RECORD_LIFETIME_MS,
+        request_id=request.id,
     )
 
 
@@ -142,7 +143,7 @@
             idempotency_link.report_outcome(
                 entry.client,
                 base_url,
-                reservation.reservation_request.key,
+                reservation.reservation_request,
                 key_status,
             )
             for base_url in reservation.keepers
--- a/src/lentilgauge/contracts/idempotency_keys.py
+++ b/src/lentilgauge/contracts/idempotency_keys.py
@@ -39,7 +39,8 @@
 class Record:
     """Record of one request under its idempotency key.
 
-    A request that is still running at `run_deadline_ms` has an unknown
+    `request_id` is that of the request, empty if its entry is of an earlier
+    version. A request that is still running at `run_deadline_ms` has an unknown
     outcome. The record expires at `kept_deadline_ms`.
     """
 
@@ -47,6 +48,7 @@
     state: RequestState
     run_deadline_ms: int
     kept_deadline_ms: int
+    request_id: str = ''
     answer: StoredAnswer | None = None
 
 
@@ -56,12 +58,14 @@
 
     The digest covers the content of the request. The request may run for
     `run_ms` and its record is kept for `keep_ms`, both from the reservation.
+    `request_id` differs between requests with the same key.
     """
 
     key: str
     digest: str
     run_ms: int
     keep_ms: int
+    request_id: str = ''
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -103,6 +107,7 @@
             state=RequestState.RUNNING,
             run_deadline_ms=now_ms + reservation.run_ms,
             kept_deadline_ms=now_ms + reservation.keep_ms,
+            request_id=reservation.request_id,
         )
         return KeyStatus(state=RequestState.FRESH)
     if record.digest != reservation.digest:
@@ -115,15 +120,22 @@
     return KeyStatus(state=record.state, answer=record.answer)
 
 
-def record_outcome(registry: Registry, key: str, outcome: KeyStatus) -> None:
-    """Record the outcome of a request, freeing the key if it did not run."""
+def record_outcome(
+    registry: Registry, key: str, outcome: KeyStatus, request_id: str = ''
+) -> None:
+    """Record the outcome of a request, freeing the key if it did not run.
+
+    A message may arrive late or twice: the outcome of a request other than the
+    one that has reserved the key is ignored.
+    """
+    record = registry.record_by_key.get(key)
+    if record is None or record.request_id != request_id:
+        return
     if outcome.state is RequestState.FRESH:
-        registry.record_by_key.pop(key, None)
+        registry.record_by_key.pop(key)
         return
-    record = registry.record_by_key.get(key)
-    if record is not None:
-        record.state = outcome.state
-        record.answer = outcome.answer
+    record.state = outcome.state
+    record.answer = outcome.answer
 
 
 def make_outcome(answer: StoredAnswer) -> KeyStatus:
--- a/src/lentilgauge/links/idempotency_link.py
+++ b/src/lentilgauge/links/idempotency_link.py
@@ -17,13 +17,15 @@
     """Request to reserve an idempotency key.
 
     `digest` covers the content of the caller's request, which may run for
-    `run_ms`; the key is remembered for `keep_ms`.
+    `run_ms`; the key is remembered for `keep_ms`. `request_id` is empty in
+    messages of earlier versions.
     """
 
     key: str
     digest: str
     run_ms: int
     keep_ms: int
+    request_id: str = ''
 
 
 class KeyStatusMessage(pydantic.BaseModel):
@@ -39,10 +41,11 @@
 
 
 class OutcomeMessage(pydantic.BaseModel):
-    """Outcome of the request under a key; `known` has its state and answer."""
+    """Outcome of a request under a key; `known` has its state and answer."""
 
     key: str
     known: KeyStatusMessage
+    request_id: str = ''
 
 
 KeyStatusResult = result.Result[
@@ -88,6 +91,7 @@
         digest=reservation.digest,
         run_ms=reservation.run_ms,
         keep_ms=reservation.keep_ms,
+        request_id=reservation.request_id,
     )
     exchange_result = await message_call.exchange(
         client,
@@ -104,7 +108,7 @@
 async def report_outcome(
     client: http_client.Client,
     base_url: str,
-    key: str,
+    reservation: idempotency_keys.ReservationRequest,
     key_status: idempotency_keys.KeyStatus,
 ) -> None:
     """Report a request's outcome to a VM; a failed report is ignored."""
@@ -113,7 +117,11 @@
         message_call.MessageCall(
             url=f'{base_url}{OUTCOME_PATH}',
             timeout_ms=_CALL_TIMEOUT_MS,
-            message=OutcomeMessage(key=key, known=pack_key_status(key_status)),
+            message=OutcomeMessage(
+                key=reservation.key,
+                known=pack_key_status(key_status),
+                request_id=reservation.request_id,
+            ),
         ),
         KeyStatusMessage,
     )
--- a/src/lentilgauge/vms/idempotency_routes.py
+++ b/src/lentilgauge/vms/idempotency_routes.py
@@ -22,6 +22,7 @@
                 digest=message.digest,
                 run_ms=message.run_ms,
                 keep_ms=message.keep_ms,
+                request_id=message.request_id,
             ),
             controller.now_ms(),
         )
@@ -34,7 +35,9 @@
             request.body
         )
         key_status = idempotency_link.unpack_key_status(message.known)
-        idempotency_keys.record_outcome(registry, message.key, key_status)
+        idempotency_keys.record_outcome(
+            registry, message.key, key_status, message.request_id
+        )
         return http_server.respond(message.known)
 
     return {
