Keep the revision of a record that a reading was overtaken by

What callers saw: nothing; found by reading.

Cause: a granter reads its record while it writes it. A reading that the store executed before the write, and whose answer came after the write's, was taken for a write of which the answer had been lost: the granter went back to the earlier revision, VMs and token limits. Its next write then failed with a conflict, was resolved by one more reading and sent again 150 ms later, with the ranges that wait for it unserved meanwhile.

Hypothesis: only a later revision shows a write that the granter doesn't know. An earlier one confirms the term as of the reading, and no more.

--- a/src/lentilgauge/vms/record_writer.py
+++ b/src/lentilgauge/vms/record_writer.py
@@ -123,7 +123,8 @@
 ) -> None:
     """Confirm the term by the stored record, or stop this granter.
 
-    A record that was deleted is written again.
+    A record that was deleted is written again. A reading that a write has
+    overtaken has an earlier revision, and still confirms the term.
     """
     if document is None:
         events.log_event(events.Event.RECORD_MISSING)
@@ -140,8 +141,8 @@
                 granter_state.gateway.state_cache, record
             )
         return
-    if document.revision != granter_state.revision:
-        # An earlier write took effect although its answer was lost.
+    if document.revision > granter_state.revision:
+        # A write took effect although its answer was lost, or is under way.
         note_record_written(
             granter_state, record, document.revision, request_sent_ms
         )
--- a/tests/test_unanswered_records.py
+++ b/tests/test_unanswered_records.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+import msgspec
 from returns import result
 from tornado import httputil
 
@@ -132,6 +133,31 @@
         await store_access.find_peers_reaching_store(self.state)
         self.assertFalse(self.state.store_outage)
 
+    async def test_a_reading_overtaken_by_a_write_changes_nothing(self) -> None:
+        """Guard against a conflict after a reading that was long on its way."""
+        earlier = self.written_record()
+        self.outcome = result.Success(
+            store_link.Document(name='record', revision=2, body=None)
+        )
+        await self.add_vms(_LATE_VMS)
+        await conditions.wait_until(lambda: self.state.revision == 2)
+        record_writer.check_stored_record(
+            self.state,
+            store_link.Document(name='record', revision=1, body=earlier),
+            self.clock.now_ms,
+        )
+        self.assertFalse(self.state.stopped)
+        self.assertEqual(self.state.revision, 2)
+        self.assertEqual(self.state.recorded_vms, _LATE_VMS)
+
+    def written_record(self) -> object:
+        """Return the body of a record of the current ownership."""
+        return msgspec.to_builtins(
+            ownership.reserve_fences(
+                ownership.make_record(self.state.ownership)
+            )
+        )
+
     async def test_an_answered_record_replaces_unanswered_ones(self) -> None:
         await self.add_vms(_UNANSWERED_VMS)
         self.outcome = result.Success(
