Keep the latest outage that a VM has reported

What callers saw: nothing; found by reading.

Cause: a VM says with each question how long ago it last reported a store outage, and the VM that is asked stored the last of these to arrive. A question that was held up, from before a later report, made it earlier again: a successor could forget seconds too soon that the holds of its predecessor may be long.

Hypothesis: of several reports the latest counts, as an age that arrives late is taken for less than it is.

Evidence: test_a_question_that_was_held_up_replaces_no_later_report failed before with "991000 != 999000" and passes now.

--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -345,6 +345,19 @@
     )
 
 
+def record_outage_report(
+    gateway: Gateway, message: peer_link.FollowMessage
+) -> None:
+    """Record when a VM last reported an outage; the request may be late."""
+    if message.outage_age_ms is None:
+        return
+    vm = message.peer.vm
+    gateway.outage_reported_ms_by_vm[vm] = max(
+        gateway.now_ms() - message.outage_age_ms,
+        gateway.outage_reported_ms_by_vm.get(vm, 0),
+    )
+
+
 def get_outage_report_age_ms(gateway: Gateway) -> int | None:
     """Return how long ago this VM reported a store outage to a granter.
 
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -111,9 +111,7 @@
     """
     gateway_module.record_peer(gateway, message.peer)
     gateway_module.record_followed_term(gateway, message)
-    if message.outage_age_ms is not None:
-        reported_ms = gateway.now_ms() - message.outage_age_ms
-        gateway.outage_reported_ms_by_vm[message.peer.vm] = reported_ms
+    gateway_module.record_outage_report(gateway, message)
     if gateway.is_granter:
         gateway.pending_reports.append(message.report)
         suspicion_sharing.apply_report(gateway, message)
