Confirm only followers that a granter had heard of before it asked

What callers saw: nothing; found by reading.

Cause: when the store confirms a term, the granter notes which process runs on each VM; only these may keep it in office, as a process that starts later may have forgotten that its VM followed a later term. The note was made when the answer came, up to a second after the store gave it. A VM that had followed a successor and started again meanwhile counted for the earlier granter.

Hypothesis: what counts is which processes were known when the request was sent, as the store answers after that. Each VM notes when it first heard of a process.

--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -90,6 +90,8 @@
     route's weighted round robin. `labelled_routes` names the routes that have a
     metric label of their own.
 
+    `first_heard_ms_by_vm` is when this VM first heard of the process that it
+    knows on each VM, and `heard_ms_by_vm` when it last did.
     `pending_reports` are the VMs' reports that this granter hasn't applied yet.
     `replied_ms_by_vm` is when this VM last replied to each follower, and
     `receipt` names the last reply that this VM has received as a follower.
@@ -148,6 +150,9 @@
         default_factory=dict,
     )
     heard_ms_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
+    first_heard_ms_by_vm: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     credits_by_route: dict[str, routes.Credits] = dataclasses.field(
         default_factory=dict,
     )
@@ -195,6 +200,9 @@
     """Record that another VM's process is alive."""
     if peer.vm == gateway.local_peer.vm:
         return
+    known = gateway.peer_by_vm.get(peer.vm)
+    if known is None or known.incarnation != peer.incarnation:
+        gateway.first_heard_ms_by_vm[peer.vm] = gateway.now_ms()
     gateway.peer_by_vm[peer.vm] = peer
     gateway.heard_ms_by_vm[peer.vm] = gateway.now_ms()
 
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -53,7 +53,7 @@
 
     `confirmed_ms` is the send time of the last request by which the store
     confirmed the term. `incarnation_at_confirmation_by_vm` has the peers that
-    were known when it last did. `term_confirmed` is false from a failed check
+    were known by then. `term_confirmed` is false from a failed check
     of the term until the store confirms it again. `store_outage` says that the
     store is unreachable for most VMs. Orders may be sent until `orders_end_ms`.
     `orders_suspended` says that this had passed when it was last checked for
@@ -241,8 +241,11 @@
 ) -> None:
     """Note that the store confirmed the term.
 
-    The confirmation counts from the time at which the request was sent.
+    The confirmation counts from the time at which the request was sent. A
+    process that was first heard of since may have started after the store's
+    answer, and after its VM had followed a later term.
     """
+    gateway = granter_state.gateway
     granter_state.confirmed_ms = max(
         granter_state.confirmed_ms, request_sent_ms
     )
@@ -253,7 +256,8 @@
     granter_state.store_outage = False
     granter_state.incarnation_at_confirmation_by_vm = {
         vm: peer.incarnation
-        for vm, peer in granter_state.gateway.peer_by_vm.items()
+        for vm, peer in gateway.peer_by_vm.items()
+        if gateway.first_heard_ms_by_vm[vm] <= request_sent_ms
     }
     if not granter_state.term_confirmed:
         events.log_event(events.Event.TERM_CONFIRMED)
