Keep the check for replies to other calls a function of its own

Replacing the merged check would have disabled a second rule with it. The two are apart again; test_weakened passes, and so do the tests of replies.

--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -178,16 +178,10 @@
     return None
 
 
-def _is_unusable(
+def _is_mismatched(
     line: bytes, expected_reply_header: tuple[str, str] | None
 ) -> bool:
-    """Check whether a header line makes its reply unusable.
-
-    It does if it leaves the body's length unknown, or has the expected name
-    and another value.
-    """
-    if _UNUSABLE_LINE.match(line):
-        return True
+    """Check whether a header line has the expected name and another value."""
     if expected_reply_header is None:
         return False
     expected_name, expected_value = expected_reply_header
@@ -220,7 +214,12 @@
                 partial_reply.final_status = partial_reply.head_status
             partial_reply.head_status = 0
             return None
-        if _is_unusable(line, expected_reply_header):
+        if any(
+            (
+                _UNUSABLE_LINE.match(line),
+                _is_mismatched(line, expected_reply_header),
+            )
+        ):
             return _ABORT_TRANSFER
         partial_reply.header_lines.append(line)
         return None
