--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -90,10 +90,15 @@
     route's weighted round robin. `labelled_routes` names the routes that have a
     metric label of their own.
 
+    `first_heard_ms_by_vm` is when this VM first heard of the process that it
+    knows on each VM, and `heard_ms_by_vm` when it last did.
     `pending_reports` are the VMs' reports that this granter hasn't applied yet.
-    `replied_ms_by_vm` is when this VM last replied to each follower.
+    `replied_ms_by_vm` is when this VM last replied to each follower, and
+    `receipt` names the last reply that this VM has received as a follower.
     `suspicion_serial` counts the suspicions of restarts that are passed on, and
     `suspicion_serial_by_vm` has its value in the last reply to each follower.
+    `takeover_pending` is whether this VM has sent the record of a term of its
+    own to the store, and may become granter by the answer.
     `predecessor_term` is the term of the granter that asked this VM to take
     over, and `predecessor_hold_ms` how long its grants may still last, as of
     its request; 0 if that is unknown or no granter has asked.
@@ -145,16 +150,21 @@
         default_factory=dict,
     )
     heard_ms_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
+    first_heard_ms_by_vm: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     credits_by_route: dict[str, routes.Credits] = dataclasses.field(
         default_factory=dict,
     )
     labelled_routes: set[str] = dataclasses.field(default_factory=set)
     is_granter: bool = False
+    takeover_pending: bool = False
     outage_reported_ms: int = 0
     outage_reported_ms_by_vm: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
     replied_ms_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
+    receipt: peer_link.ReplyReceipt | None = None
     suspicion_serial: int = 0
     suspicion_serial_by_vm: dict[str, int] = dataclasses.field(
         default_factory=dict
@@ -190,6 +200,9 @@
     """Record that another VM's process is alive."""
     if peer.vm == gateway.local_peer.vm:
         return
+    known = gateway.peer_by_vm.get(peer.vm)
+    if known is None or known.incarnation != peer.incarnation:
+        gateway.first_heard_ms_by_vm[peer.vm] = gateway.now_ms()
     gateway.peer_by_vm[peer.vm] = peer
     gateway.heard_ms_by_vm[peer.vm] = gateway.now_ms()
 
@@ -249,7 +262,8 @@
 def make_view(gateway: Gateway) -> peer_link.ViewMessage:
     """Describe the granter that this VM knows, and when it was last heard of.
 
-    On the granter itself, the age of that information is 0.
+    On the granter itself, the age of that information is 0. A VM that may
+    become granter by an answer under way says that it grants.
     """
     current = gateway.state_cache.ownership
     age_ms = (
@@ -262,7 +276,7 @@
         term=current.term,
         granter=current.granter,
         age_ms=age_ms,
-        grants=gateway.is_granter,
+        grants=gateway.is_granter or gateway.takeover_pending,
     )
 
 
@@ -318,24 +332,38 @@
 
 
 def record_followed_term(
-    gateway: Gateway,
-    peer: peer_link.Peer,
-    term: int,
+    gateway: Gateway, message: peer_link.FollowMessage
 ) -> None:
     """Record that a VM follows a term.
 
-    The VM's request may have been delayed in transit, but the VM sent it after
-    the previous reply to that VM had left this one. So the VM followed the term
-    at some time after that reply, whose time is recorded instead of the time of
-    the request's arrival.
+    The VM's request may have been delayed in transit, and so may others that
+    the VM has given up since. But the VM sent it after it had received the
+    reply that it names. So the VM followed the term at some time after that
+    reply, whose time is recorded instead of the time of the request's arrival.
     """
-    replied_ms = gateway.replied_ms_by_vm.get(peer.vm)
-    if replied_ms is not None:
-        gateway.followed_term_by_vm[peer.vm] = FollowedTerm(
-            term=term,
-            incarnation=peer.incarnation,
-            followed_after_ms=replied_ms,
-        )
+    receipt = message.receipt
+    if receipt is None or (
+        receipt.incarnation != gateway.local_peer.incarnation
+    ):
+        return
+    gateway.followed_term_by_vm[message.peer.vm] = FollowedTerm(
+        term=message.term,
+        incarnation=message.peer.incarnation,
+        followed_after_ms=receipt.replied_ms,
+    )
+
+
+def record_outage_report(
+    gateway: Gateway, message: peer_link.FollowMessage
+) -> None:
+    """Record when a VM last reported an outage; the request may be late."""
+    if message.outage_age_ms is None:
+        return
+    vm = message.peer.vm
+    gateway.outage_reported_ms_by_vm[vm] = max(
+        gateway.now_ms() - message.outage_age_ms,
+        gateway.outage_reported_ms_by_vm.get(vm, 0),
+    )
 
 
 def get_outage_report_age_ms(gateway: Gateway) -> int | None:
--- a/src/lentilgauge/vms/record_writer.py
+++ b/src/lentilgauge/vms/record_writer.py
@@ -59,6 +59,7 @@
     record = ownership_module.reserve_fences(
         ownership_module.make_record(granter_state.ownership)
     )
+    granter_state.unanswered_vms.add(record.vms)
     write_outcome = await granter_state.gateway.store.write_record(
         record,
         granter_state.revision,
@@ -84,6 +85,9 @@
     request_sent_ms: int,
 ) -> None:
     """Update the state after a record was written to the store."""
+    if revision > granter_state.revision:
+        # Unanswered writes are of an earlier revision, and can't take effect.
+        granter_state.unanswered_vms.clear()
     granter_state.revision = revision
     granter_state.seen_revisions.append(revision)
     granter_state.recorded_fence_limit = (
@@ -119,7 +123,8 @@
 ) -> None:
     """Confirm the term by the stored record, or stop this granter.
 
-    A record that was deleted is written again.
+    A record that was deleted is written again. A reading that a write has
+    overtaken has an earlier revision, and still confirms the term.
     """
     if document is None:
         events.log_event(events.Event.RECORD_MISSING)
@@ -136,8 +141,8 @@
                 granter_state.gateway.state_cache, record
             )
         return
-    if document.revision != granter_state.revision:
-        # An earlier write took effect although its answer was lost.
+    if document.revision > granter_state.revision:
+        # A write took effect although its answer was lost, or is under way.
         note_record_written(
             granter_state, record, document.revision, request_sent_ms
         )
