Count unanswered orders against the process that they were sent to

Orders in flight as an upstream restarted under its id counted, once they failed, against the new process: two renewals made it unresponsive, and its keys moved away. update_upstreams forgets only the failures that came before the announcement.

Cause, found by a reader: a failure was counted under the id that is known when it comes, whatever process the order was sent to. It now counts only if that process is still the one that is known.

--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -296,7 +296,7 @@
             timeout_ms=grant_timing.GRANT_TIMEOUT_MS,
         ),
     )
-    _track_silence(granter_state, upstream.id, reply.answer)
+    _track_silence(granter_state, upstream, reply.answer)
     _log_refusal(granter_state, key_range, upstream.id, reply.answer)
     if reply.answer is upstream_link.OrderAnswer.ACCEPTED:
         granter_state.grant_accepted_ms_by_upstream[upstream.id] = (
@@ -318,26 +318,31 @@
 
 def _track_silence(
     granter_state: granter_state_module.GranterState,
-    upstream_id: str,
+    upstream: upstream_state.Upstream,
     answer: upstream_link.OrderAnswer,
 ) -> None:
+    """Note whether an upstream has answered an order that was sent to it."""
     if (
         answer not in _UNRECEIVED_ANSWERS
         and answer is not upstream_link.OrderAnswer.SILENT
     ):
-        granter_state.failure_streak_by_upstream.pop(upstream_id, None)
+        granter_state.failure_streak_by_upstream.pop(upstream.id, None)
         return
     granter_state.gateway.metrics.count('orders_unanswered', answer)
+    known = granter_state.upstream_by_id[upstream.id]
+    if known.incarnation != upstream.incarnation:
+        # The upstream has restarted since.
+        return
     grant_timing.record_failure(
         granter_state.failure_streak_by_upstream,
-        upstream_id,
+        upstream.id,
         granter_state_module.now_ms(granter_state),
         unreachable=answer in _UNRECEIVED_ANSWERS,
     )
-    failure_streak = granter_state.failure_streak_by_upstream[upstream_id]
+    failure_streak = granter_state.failure_streak_by_upstream[upstream.id]
     events.log_event(
         events.Event.UPSTREAM_SILENT,
-        upstream=upstream_id,
+        upstream=upstream.id,
         answer=answer,
         failures=failure_streak.failures,
         since_ms=granter_state_module.now_ms(granter_state)
