Move keys only once earlier granters send no more orders

Hypothesis: no release can be relied on while an earlier granter may send orders, so keys mustn't move then. GranterState.earlier_orders takes the place of inherited_grants_end_ms. It is found from the same facts and says by when all orders of earlier granters have arrived or timed out, and by when their holds have ended: a grant's timeout and slack after such a granter stopped, its grace later if half of its VMs follow, 0 after a handover. Until the first of these a granter * assigns no keys to anybody else. Holders keep them under the new tokens, and keys whose holder is gone wait; * grants keys at once to a holder that restarted (renew_soon). Keys move afterwards only, and earlier granters order only what the record names, so an answer to a release ends the wait as before.

Tried and dropped: to count a release only if sent after that time, also for moves that the record already names.

Left: while it is unknown whether an earlier granter has stopped, as most VMs of its record are out of reach with it, no keys move at all, drains included; before, only keys of silent upstreams waited then.

--- a/src/lentilgauge/contracts/grant_timing.py
+++ b/src/lentilgauge/contracts/grant_timing.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+from collections.abc import Iterable
 
 from lentilgauge.services import key_ranges
 
@@ -161,16 +162,48 @@
     return counted * 2 >= total
 
 
-def bound_end_after_stop_ms(now_ms: int, hold_ms: int) -> int:
-    """Return the time by which a stopped granter's holds have all ended."""
-    return now_ms + GRANT_TIMEOUT_MS + add_drift(hold_ms)
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EarlierOrdersBounds:
+    """Bounds on the effect of earlier granters' orders.
+
+    All of their orders have arrived or timed out by `orders_end_ms`, and all
+    holds that these gave have ended by `holds_end_ms`.
+    """
+
+    orders_end_ms: int = 0
+    holds_end_ms: int = 0
 
 
-def bound_end_after_succession_ms(now_ms: int, hold_ms: int) -> int:
-    """Return the time by which a replaced granter's holds have all ended.
+#: Bounds on the orders of a granter that may still be sending some.
+UNKNOWN_BOUNDS = EarlierOrdersBounds(
+    orders_end_ms=UNKNOWN_END_MS, holds_end_ms=UNKNOWN_END_MS
+)
+
+
+def bound_orders_after_stop(now_ms: int, hold_ms: int) -> EarlierOrdersBounds:
+    """Return bounds on the orders of a granter that has stopped."""
+    return EarlierOrdersBounds(
+        orders_end_ms=now_ms + GRANT_TIMEOUT_MS + SLACK_MS,
+        holds_end_ms=now_ms + GRANT_TIMEOUT_MS + add_drift(hold_ms),
+    )
+
+
+def bound_orders_after_succession(
+    now_ms: int, hold_ms: int
+) -> EarlierOrdersBounds:
+    """Return bounds on the orders of a granter that was replaced.
 
     Half of the VMs follow the successor by now. The store no longer confirms
     the predecessor, and too few VMs do, so it stops by itself at the end of its
     grace period.
     """
-    return bound_end_after_stop_ms(now_ms + GRANTER_GRACE_MS, hold_ms)
+    return bound_orders_after_stop(now_ms + GRANTER_GRACE_MS, hold_ms)
+
+
+def join_bounds(bounds: Iterable[EarlierOrdersBounds]) -> EarlierOrdersBounds:
+    """Return the bounds that hold for the orders of several granters."""
+    all_bounds = tuple(bounds)
+    return EarlierOrdersBounds(
+        orders_end_ms=max(each.orders_end_ms for each in all_bounds),
+        holds_end_ms=max(each.holds_end_ms for each in all_bounds),
+    )
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -58,9 +58,9 @@
     `orders_suspended` says that this had passed when it was last checked for
     the log.
 
-    `inherited_grants_end_ms` is the time by which all grants of earlier
-    granters have expired. `successor` is the peer that is asked to take over
-    once this granter has stopped.
+    `earlier_orders` has the bounds on the orders of earlier granters.
+    `successor` is the peer that is asked to take over once this granter has
+    stopped.
 
     `grant_accepted_ms_by_upstream` is when each upstream last accepted a grant.
 
@@ -81,7 +81,7 @@
     recorded_fence_limit: int
     reserved_fence_limit: int
     confirmed_ms: int
-    inherited_grants_end_ms: int
+    earlier_orders: grant_timing.EarlierOrdersBounds
     orders_end_ms: int = 0
     term_started_ms: int = 0
     recorded_vms: tuple[str, ...] = ()
@@ -144,6 +144,17 @@
     return now_ms(granter_state) < granter_state.orders_end_ms
 
 
+def have_earlier_orders_ended(granter_state: GranterState) -> bool:
+    """Return whether no order of an earlier granter can arrive any more.
+
+    Until then a release binds only the process that has accepted it: the next
+    one of its upstream knows no fencing tokens, and would accept a grant of an
+    earlier granter.
+    """
+    orders_end_ms = granter_state.earlier_orders.orders_end_ms
+    return now_ms(granter_state) >= orders_end_ms
+
+
 def extend_right_to_order(granter_state: GranterState) -> None:
     """Extend the right to send orders while a majority follows the term.
 
@@ -302,9 +313,12 @@
 def bound_remaining_grants_ms(granter_state: GranterState) -> int:
     """Return for how long, at most, a grant may still last.
 
-    0 means that this is unknown, as the end of inherited grants isn't known.
+    0 means that the successor has to find out by itself when earlier granters
+    stop.
     """
-    latest_end_ms = granter_state.inherited_grants_end_ms
+    if not have_earlier_orders_ended(granter_state):
+        return 0
+    latest_end_ms = granter_state.earlier_orders.holds_end_ms
     for range_table in granter_state.ownership.table_by_service.values():
         for key_range in range_table.ranges:
             latest_end_ms = max(
@@ -312,6 +326,4 @@
                 key_range.hold_end_ms,
                 *key_range.hold_end_ms_by_previous_holder.values(),
             )
-    if latest_end_ms == grant_timing.UNKNOWN_END_MS:
-        return 0
     return max(latest_end_ms - now_ms(granter_state), 1)
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Coroutine
 
 import msgspec
@@ -36,7 +37,7 @@
 TICK_MS = 50
 _VIEW_TIMEOUT_MS = 150
 #: Placeholder for the end of a grant of an earlier term. The real bound is
-#: `GranterState.inherited_grants_end_ms`.
+#: `GranterState.earlier_orders`.
 INHERITED_GRANT_END_MS = 1
 
 
@@ -71,9 +72,7 @@
         recorded_fence_limit=0,
         reserved_fence_limit=0,
         confirmed_ms=request_sent_ms,
-        inherited_grants_end_ms=_bound_inherited_grants_ms(
-            gateway, next_ownership
-        ),
+        earlier_orders=_bound_earlier_orders(gateway, next_ownership),
         term_started_ms=request_sent_ms,
     )
     record_writer.note_record_written(
@@ -144,35 +143,37 @@
             )
 
 
-def _bound_inherited_grants_ms(
+def _bound_earlier_orders(
     gateway: gateway_module.Gateway,
     next_ownership: ownership_module.Ownership,
-) -> int:
-    """Return a first bound on when all grants of earlier terms have expired.
+) -> grant_timing.EarlierOrdersBounds:
+    """Return first bounds on the orders of earlier granters.
 
-    It is `UNKNOWN_END_MS` if an earlier granter may not have stopped yet, and 0
-    if there was none.
+    They are unknown if an earlier granter may not have stopped yet, and 0 if
+    there was none. A granter that hands over has ended its orders before.
     """
     if next_ownership.unsettled:
-        return grant_timing.UNKNOWN_END_MS
-    if gateway.predecessor_hold_ms:
-        return grant_timing.bound_end_after_stop_ms(
-            gateway.now_ms(),
-            gateway.predecessor_hold_ms,
-        )
-    return 0
+        return grant_timing.UNKNOWN_BOUNDS
+    if not gateway.predecessor_hold_ms:
+        return grant_timing.EarlierOrdersBounds()
+    return dataclasses.replace(
+        grant_timing.bound_orders_after_stop(
+            gateway.now_ms(), gateway.predecessor_hold_ms
+        ),
+        orders_end_ms=0,
+    )
 
 
-async def _determine_inherited_grants_end(
+async def _determine_earlier_orders(
     granter_state: granter_state_module.GranterState,
 ) -> None:
-    """Wait until it is known when all grants of earlier terms have expired."""
-    while granter_state.inherited_grants_end_ms == grant_timing.UNKNOWN_END_MS:
+    """Wait until bounds on the orders of all earlier granters are known."""
+    while granter_state.earlier_orders == grant_timing.UNKNOWN_BOUNDS:
         await asyncio.sleep(clock.to_seconds(TICK_MS))
-        granter_state.inherited_grants_end_ms = max(
+        granter_state.earlier_orders = grant_timing.join_bounds(
             await asyncio.gather(
                 *(
-                    _find_grants_end_ms(granter_state, predecessor)
+                    _find_orders_bounds(granter_state, predecessor)
                     for predecessor in granter_state.ownership.unsettled
                 ),
             ),
@@ -182,24 +183,24 @@
         granter_state_module.publish(granter_state, write_at_once=False)
 
 
-async def _find_grants_end_ms(
+async def _find_orders_bounds(
     granter_state: granter_state_module.GranterState,
     predecessor: ownership_module.Granter,
-) -> int:
-    """Return the time by which all grants of an earlier granter have expired.
+) -> grant_timing.EarlierOrdersBounds:
+    """Return bounds on the orders of an earlier granter.
 
-    The time is `UNKNOWN_END_MS` until that granter has stopped or half of its
-    term's VMs follow this term.
+    They are unknown until that granter has stopped or half of its term's VMs
+    follow this term.
     """
     gateway = granter_state.gateway
     if _is_followed_by_half(granter_state, predecessor.vms):
-        return grant_timing.bound_end_after_succession_ms(
+        return grant_timing.bound_orders_after_succession(
             gateway.now_ms(),
             _bound_hold_ms(granter_state, predecessor.vms),
         )
     if not await _has_predecessor_stopped(gateway, predecessor):
-        return grant_timing.UNKNOWN_END_MS
-    return grant_timing.bound_end_after_stop_ms(
+        return grant_timing.UNKNOWN_BOUNDS
+    return grant_timing.bound_orders_after_stop(
         gateway.now_ms(),
         _bound_hold_ms(granter_state, predecessor.vms),
     )
@@ -288,7 +289,7 @@
         record_writer.run_record_writer(granter_state),
         _check_term_periodically(granter_state),
         granter_handover.hand_over_when_needed(granter_state),
-        _determine_inherited_grants_end(granter_state),
+        _determine_earlier_orders(granter_state),
     ]
     tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
     try:
--- a/src/lentilgauge/vms/granter_upstreams.py
+++ b/src/lentilgauge/vms/granter_upstreams.py
@@ -6,13 +6,14 @@
 from lentilgauge import events
 from lentilgauge.upstreams import upstream_state
 from lentilgauge.vms import granter_state as granter_state_module
+from lentilgauge.vms import key_assignment
 
 
 def update_upstreams(granter_state: granter_state_module.GranterState) -> None:
     """Adopt the announced upstreams, and log addresses used again.
 
     Orders that an earlier process left unanswered don't count against the next
-    one with its id.
+    one with its id, which holds none of the keys granted.
     """
     announced_by_id = granter_state.gateway.state_cache.upstream_by_id
     for upstream in announced_by_id.values():
@@ -21,6 +22,7 @@
             _log_address_reuse(granter_state, upstream)
             granter_state.failure_streak_by_upstream.pop(upstream.id, None)
             granter_state.absence_by_upstream.pop(upstream.id, None)
+            key_assignment.renew_soon(granter_state, upstream.id)
         granter_state.upstream_by_id[upstream.id] = upstream
 
 
--- a/src/lentilgauge/vms/key_assignment.py
+++ b/src/lentilgauge/vms/key_assignment.py
@@ -81,6 +81,9 @@
             return False
         tables[service] = _make_first_table(granter_state, eligible)
         return True
+    if not granter_state_module.have_earlier_orders_ended(granter_state):
+        # Keys that move now are unserved until an earlier granter has stopped.
+        return False
     changed = _replace_ineligible_holders(granter_state, range_table, eligible)
     if not granter_state.term_confirmed:
         # Keys that move now are unserved until the record can be written.
@@ -359,17 +362,14 @@
         average = min(max(average, _MIN_SLOWNESS), _MAX_SLOWNESS)
         slowness_by_id[upstream_id] = round(average, _SLOWNESS_DIGITS)
     if upstream_report.moved:
-        _renew_soon(granter_state, upstream_id)
+        renew_soon(granter_state, upstream_id)
 
 
-def _renew_soon(
+def renew_soon(
     granter_state: granter_state_module.GranterState,
     upstream_id: str,
 ) -> None:
-    """Make an upstream's grants due for renewal.
-
-    The upstream has refused requests for keys that are assigned to it.
-    """
+    """Make an upstream's grants due, as it doesn't hold the keys granted."""
     for range_table in granter_state.ownership.table_by_service.values():
         for key_range in key_ranges.list_ranges_of_holder(
             range_table, upstream_id
--- a/src/lentilgauge/vms/key_orders.py
+++ b/src/lentilgauge/vms/key_orders.py
@@ -197,7 +197,7 @@
     end_ms = key_range.hold_end_ms_by_previous_holder.get(upstream_id)
     if end_ms is None:
         return 0
-    latest_end_ms = max(end_ms, granter_state.inherited_grants_end_ms)
+    latest_end_ms = max(end_ms, granter_state.earlier_orders.holds_end_ms)
     return latest_end_ms - granter_state_module.now_ms(granter_state)
 
 
--- a/tests/test_granting_model.py
+++ b/tests/test_granting_model.py
@@ -10,6 +10,7 @@
 
 import loguru
 
+from lentilgauge.contracts import grant_timing
 from lentilgauge.links import peer_link
 from lentilgauge.services import key_ranges
 from lentilgauge.vms import granter_state as granter_state_module
@@ -534,7 +535,9 @@
 
     def test_forgetting_earlier_granters_is_caught(self) -> None:
         with mock.patch.object(
-            granter_term, '_bound_inherited_grants_ms', return_value=0
+            granter_term,
+            '_bound_earlier_orders',
+            return_value=grant_timing.EarlierOrdersBounds(),
         ):
             self.assertIn('two holders', str(run_isolation().violations))
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -17,6 +17,7 @@
 from tests import (
     gateway_fixtures,
     granting_model,
+    granting_upstreams,
     test_granting_model,
     virtual_time,
 )
@@ -54,6 +55,16 @@
             model.cut_links |= {(cut_vm, vm), (vm, cut_vm)}
 
 
+def drain_upstream(
+    model: granting_model.Model, name: str
+) -> granting_upstreams.ModelUpstream:
+    """Announce that an upstream drains, and return it."""
+    upstream = model.upstream_by_name[name]
+    upstream.state = upstream_state.State.DRAINING
+    model.announce(upstream)
+    return upstream
+
+
 def find_latest_term(model: granting_model.Model) -> int:
     """Return the latest term that any VM knows."""
     return max(
@@ -196,9 +207,7 @@
                 lambda: len(granting_model.find_granters(model)) == 2
             )
             model.store.unreachable_for.add(granter)
-            upstream = model.upstream_by_name['u1']
-            upstream.state = upstream_state.State.DRAINING
-            model.announce(upstream)
+            upstream = drain_upstream(model, 'u1')
             await wait_until(lambda: not upstream.list_live_holds())
             model.kill_upstream('u1', listed=True)
             model.start_upstream('u1')
@@ -356,7 +365,7 @@
             recorded_fence_limit=0,
             reserved_fence_limit=0,
             confirmed_ms=0,
-            inherited_grants_end_ms=0,
+            earlier_orders=grant_timing.EarlierOrdersBounds(),
         )
         key_range = key_ranges.KeyRange(
             start=0,
