Bound the wait for a granter that may not have stopped

With most VMs gone together with their granter, the survivor moved no keys at all until they were back: it waited for the end of orders of a granter of which nothing could be known. In the model, with two of three VMs killed, a draining upstream kept its keys for the 20 s looked at.

Hypothesis: such a granter can't order for long after the successor has granted. The store no longer confirms it, so it lasts beyond its grace only while most VMs follow it without the store. Its first renewal of a range, at most 0.8 s later, is refused by the holder that has accepted the successor's grant; then it needs new tokens, and sends no orders under these until it has recorded them, which needs the store.

So the first bound on earlier orders, while nothing else is known, is the grace period, a grant's timeout and slack after the term's start. What is found later replaces it. The end of their holds stays unknown until then, so keys of silent upstreams wait as before.

test_a_drain_ends_if_most_vms_are_lost failed before; test_a_granter_that_most_vms_follow_takes_no_keys_back failed on with two holders, and before this commit as the keys never moved.

Left: an upstream that such a granter couldn't reach while it held the successor's grant, and that restarts after its release, may still take a grant of it.

--- a/src/lentilgauge/contracts/grant_timing.py
+++ b/src/lentilgauge/contracts/grant_timing.py
@@ -200,9 +200,24 @@
     return bound_orders_after_stop(now_ms + GRANTER_GRACE_MS, hold_ms)
 
 
+def bound_orders_before_stop(now_ms: int) -> EarlierOrdersBounds:
+    """Return bounds on the orders of a granter that may not have stopped.
+
+    The store no longer confirms it. If most VMs still follow it after its grace
+    period, holders that accepted the successor's grants have refused it since,
+    and it can't record the higher tokens that it needs to order these keys.
+    """
+    return EarlierOrdersBounds(
+        orders_end_ms=now_ms + GRANTER_GRACE_MS + GRANT_TIMEOUT_MS + SLACK_MS,
+        holds_end_ms=UNKNOWN_END_MS,
+    )
+
+
 def join_bounds(bounds: Iterable[EarlierOrdersBounds]) -> EarlierOrdersBounds:
     """Return the bounds that hold for the orders of several granters."""
     all_bounds = tuple(bounds)
+    if UNKNOWN_BOUNDS in all_bounds:
+        return UNKNOWN_BOUNDS
     return EarlierOrdersBounds(
         orders_end_ms=max(each.orders_end_ms for each in all_bounds),
         holds_end_ms=max(each.holds_end_ms for each in all_bounds),
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -319,6 +319,8 @@
     if not have_earlier_orders_ended(granter_state):
         return 0
     latest_end_ms = granter_state.earlier_orders.holds_end_ms
+    if latest_end_ms == grant_timing.UNKNOWN_END_MS:
+        return 0
     for range_table in granter_state.ownership.table_by_service.values():
         for key_range in range_table.ranges:
             latest_end_ms = max(
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -149,11 +149,12 @@
 ) -> grant_timing.EarlierOrdersBounds:
     """Return first bounds on the orders of earlier granters.
 
-    They are unknown if an earlier granter may not have stopped yet, and 0 if
-    there was none. A granter that hands over has ended its orders before.
+    The end of holds is unknown if an earlier granter may not have stopped yet,
+    and both are 0 if there was none. A granter that hands over has ended its
+    orders before.
     """
     if next_ownership.unsettled:
-        return grant_timing.UNKNOWN_BOUNDS
+        return grant_timing.bound_orders_before_stop(gateway.now_ms())
     if not gateway.predecessor_hold_ms:
         return grant_timing.EarlierOrdersBounds()
     return dataclasses.replace(
@@ -167,10 +168,11 @@
 async def _determine_earlier_orders(
     granter_state: granter_state_module.GranterState,
 ) -> None:
-    """Wait until bounds on the orders of all earlier granters are known."""
-    while granter_state.earlier_orders == grant_timing.UNKNOWN_BOUNDS:
+    """Wait until it is known when the holds of earlier granters have ended."""
+    unknown_ms = grant_timing.UNKNOWN_END_MS
+    while granter_state.earlier_orders.holds_end_ms == unknown_ms:
         await asyncio.sleep(clock.to_seconds(TICK_MS))
-        granter_state.earlier_orders = grant_timing.join_bounds(
+        bounds = grant_timing.join_bounds(
             await asyncio.gather(
                 *(
                     _find_orders_bounds(granter_state, predecessor)
@@ -178,6 +180,8 @@
                 ),
             ),
         )
+        if bounds != grant_timing.UNKNOWN_BOUNDS:
+            granter_state.earlier_orders = bounds
     if granter_state.ownership.unsettled:
         granter_state.ownership.unsettled = ()
         granter_state_module.publish(granter_state, write_at_once=False)
--- a/tests/test_earlier_orders.py
+++ b/tests/test_earlier_orders.py
@@ -15,6 +15,12 @@
 )
 
 
+def find_followers(model: granting_model.Model) -> list[str]:
+    """List the VMs other than the granter."""
+    granter = test_granting_model.pick_granter(model)
+    return [vm for vm in model.vm_names if vm != granter]
+
+
 class EarlierOrdersTest(unittest.TestCase):
     """An upstream that restarts after a release knows no fencing tokens."""
 
@@ -128,3 +134,57 @@
 
         virtual_time.run_and_close(loop, restart_holder())
         self.assertEqual(model.violations, [])
+
+    def test_a_drain_ends_if_most_vms_are_lost(self) -> None:
+        """Guard against a wait for VMs that don't return."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def drain_at_survivor() -> None:
+            await test_granting_model.start_all_vms(model)
+            for vm in find_followers(model)[1:]:
+                model.kill_vm(vm)
+            model.kill_vm(test_granting_model.pick_granter(model))
+            await test_succession.wait_until(
+                lambda: bool(granting_model.find_granters(model))
+            )
+            upstream = test_succession.drain_upstream(model, 'u1')
+            await asyncio.sleep(2)
+            self.assertEqual(upstream.list_live_holds(), [])
+            self.assertEqual(model.count_held_keys(), key_ranges.KEY_COUNT)
+
+        virtual_time.run_and_close(loop, drain_at_survivor())
+        self.assertEqual(model.violations, [])
+
+    def test_a_granter_that_most_vms_follow_takes_no_keys_back(self) -> None:
+        """Guard against a former granter that lasts without the store."""
+        for start_ms in range(0, 1000, 200):
+            with self.subTest(start_ms=start_ms):
+                self.restart_beside_two_granters(start_ms)
+
+    def restart_beside_two_granters(self, start_ms: int) -> None:
+        """Restart an upstream after its release to a granter without VMs."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def restart_after_release() -> None:
+            await test_granting_model.start_all_vms(model)
+            await asyncio.sleep(start_ms / 1000)
+            successor = find_followers(model)[0]
+            test_succession.cut_from_all_vms(model, successor)
+            model.store.unreachable_for.update(model.vm_names)
+            model.store.unreachable_for.discard(successor)
+            await test_succession.wait_until(
+                lambda: successor in granting_model.find_granters(model)
+            )
+            upstream = test_succession.drain_upstream(model, 'u1')
+            await test_succession.wait_until(
+                lambda: not upstream.list_live_holds()
+            )
+            model.kill_upstream('u1', listed=True)
+            model.start_upstream('u1')
+            await asyncio.sleep(4)
+            self.assertEqual(len(granting_model.find_granters(model)), 2)
+
+        virtual_time.run_and_close(loop, restart_after_release())
+        self.assertEqual(model.violations, [])
