--- a/tests/test_late_confirmations.py
+++ b/tests/test_late_confirmations.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from lentilgauge.contracts import ownership
+from lentilgauge.contracts import grant_timing, ownership
 from lentilgauge.links import peer_link
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granter_state as granter_state_module
@@ -24,7 +24,7 @@
             recorded_fence_limit=0,
             reserved_fence_limit=0,
             confirmed_ms=0,
-            inherited_grants_end_ms=0,
+            earlier_orders=grant_timing.EarlierOrdersBounds(),
         )
 
     def hear_of(self, incarnation: str) -> None:
--- a/tests/test_orders_amid_restarts.py
+++ b/tests/test_orders_amid_restarts.py
@@ -4,7 +4,7 @@
 import dataclasses
 import unittest
 
-from lentilgauge.contracts import ownership
+from lentilgauge.contracts import grant_timing, ownership
 from lentilgauge.links import upstream_link
 from lentilgauge.services import key_ranges
 from lentilgauge.vms import (
@@ -46,7 +46,7 @@
             recorded_fence_limit=10,
             reserved_fence_limit=ownership.RESERVED_FENCES,
             confirmed_ms=0,
-            inherited_grants_end_ms=0,
+            earlier_orders=grant_timing.EarlierOrdersBounds(),
         )
         granter_upstreams.update_upstreams(state)
         ranges = key_ranges.split_key_space(2)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -17,6 +17,7 @@
 from tests import (
     gateway_fixtures,
     granting_model,
+    granting_upstreams,
     test_granting_model,
     virtual_time,
 )
@@ -47,6 +48,31 @@
     raise AssertionError('the condition was not met')
 
 
+def cut_from_all_vms(model: granting_model.Model, cut_vm: str) -> None:
+    """Cut the links between a VM and all others."""
+    for vm in model.vm_names:
+        if vm != cut_vm:
+            model.cut_links |= {(cut_vm, vm), (vm, cut_vm)}
+
+
+def drain_upstream(
+    model: granting_model.Model, name: str
+) -> granting_upstreams.ModelUpstream:
+    """Announce that an upstream drains, and return it."""
+    upstream = model.upstream_by_name[name]
+    upstream.state = upstream_state.State.DRAINING
+    model.announce(upstream)
+    return upstream
+
+
+def find_latest_term(model: granting_model.Model) -> int:
+    """Return the latest term that any VM knows."""
+    return max(
+        vm.gateway.state_cache.ownership.term
+        for vm in model.vm_by_name.values()
+    )
+
+
 class SuccessionTest(unittest.TestCase):
     """A successor waits for every grant that may still last."""
 
@@ -176,16 +202,12 @@
             await test_granting_model.start_all_vms(model)
             await asyncio.sleep(1)
             granter = test_granting_model.pick_granter(model)
-            for vm in model.vm_names:
-                if vm != granter:
-                    model.cut_links |= {(granter, vm), (vm, granter)}
+            cut_from_all_vms(model, granter)
             await wait_until(
                 lambda: len(granting_model.find_granters(model)) == 2
             )
             model.store.unreachable_for.add(granter)
-            upstream = model.upstream_by_name['u1']
-            upstream.state = upstream_state.State.DRAINING
-            model.announce(upstream)
+            upstream = drain_upstream(model, 'u1')
             await wait_until(lambda: not upstream.list_live_holds())
             model.kill_upstream('u1', listed=True)
             model.start_upstream('u1')
@@ -195,6 +217,57 @@
         virtual_time.run_and_close(loop, restart_after_release())
         self.assertEqual(model.violations, [])
 
+    def test_a_cut_off_vm_does_not_replace_its_successor(self) -> None:
+        """Guard against granters that replace each other again and again.
+
+        The former granter still reaches the store, but no VM.
+        """
+        for vm_count in (2, 3, 4, 5):
+            with self.subTest(vm_count=vm_count):
+                self.count_terms_after_partition(vm_count)
+
+    def count_terms_after_partition(self, vm_count: int) -> None:
+        """Cut the granter off from its peers; expect one successor in 9 s."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1, vm_count=vm_count)
+
+        async def cut_granter_off() -> None:
+            await test_granting_model.start_all_vms(model)
+            granter = test_granting_model.pick_granter(model)
+            first_term = find_latest_term(model)
+            cut_from_all_vms(model, granter)
+            for _ in range(90):
+                await asyncio.sleep(0.1)
+                self.assertEqual(model.count_held_keys(), key_ranges.KEY_COUNT)
+            self.assertEqual(find_latest_term(model), first_term + 1)
+            self.assertNotIn(granter, granting_model.find_granters(model))
+            model.cut_links.clear()
+            await asyncio.sleep(3)
+            self.assertEqual(len(granting_model.find_granters(model)), 1)
+
+        virtual_time.run_and_close(loop, cut_granter_off())
+        self.assertEqual(model.violations, [])
+
+    def test_a_lone_survivor_takes_over_at_once(self) -> None:
+        """Guard against a VM that waits for others when all have ended."""
+        loop = virtual_time.VirtualLoop()
+        model = granting_model.Model(loop, 1)
+
+        async def kill_all_but_one() -> None:
+            await test_granting_model.start_all_vms(model)
+            granter = test_granting_model.pick_granter(model)
+            survivor = next(vm for vm in model.vm_names if vm != granter)
+            for vm in model.vm_names:
+                if vm != survivor:
+                    model.kill_vm(vm)
+            for _ in range(90):
+                await asyncio.sleep(0.1)
+                self.assertEqual(model.count_held_keys(), key_ranges.KEY_COUNT)
+            self.assertEqual(granting_model.find_granters(model), [survivor])
+
+        virtual_time.run_and_close(loop, kill_all_but_one())
+        self.assertEqual(model.violations, [])
+
     def test_restarted_vms_suppose_an_outage_before_their_start(self) -> None:
         """Guard against VMs that forget by a restart that holds are long."""
         loop = virtual_time.VirtualLoop()
@@ -292,7 +365,7 @@
             recorded_fence_limit=0,
             reserved_fence_limit=0,
             confirmed_ms=0,
-            inherited_grants_end_ms=0,
+            earlier_orders=grant_timing.EarlierOrdersBounds(),
         )
         key_range = key_ranges.KeyRange(
             start=0,
--- a/tests/test_unanswered_records.py
+++ b/tests/test_unanswered_records.py
@@ -49,7 +49,7 @@
             recorded_fence_limit=0,
             reserved_fence_limit=0,
             confirmed_ms=0,
-            inherited_grants_end_ms=0,
+            earlier_orders=grant_timing.EarlierOrdersBounds(),
         )
         record_writer.note_record_written(
             self.state,
