Let one term's controller alone complete a slot's move

What callers saw: with the platform out of reach amid a move, the moving slots answered 503 until it was back. An owner gave the slot up first; then the write that completes the move could not be made, and nobody dared to grant the slot again, as this controller's write of unknown outcome or an earlier term's might still complete it.

Hypotheses before the change: (1) if a move names the term that may complete it, a later term rules out every earlier write by claiming the move anew, since the number changes; (2) the claiming controller knows of each completing write that it has sent, and such a write, conditional on a version of the slot map, can't take effect once a later version is known; so it may grant the slot again in all other cases; (3) a controller that opens a later term reads the slot map after its record was written. If the claiming one reads the record after its claim was written and finds its own term, any later one sees the claim and doesn't grant the slot. Without that read, exclusivity has a hole today: a replaced controller that gets the slot map, by a conflict, before the news of its replacement completes a move that its successor hasn't read, and both upstreams serve.

The change: moves start unclaimed, and their slots stay with the owner. Its controller claims them, reads the term's record, and only then leaves them out of grants. It reads the record again each 100 ms; without an answer it grants the slots again, unless a completing write may take effect. Steps of a move run in a task per upstream, so that a call that waits for the platform doesn't hold up renewals (by design, not measured).

Exclusivity: the owner holds a slot under token T only if T's controller granted it; an acknowledgement counts only under the latest token of the claiming term, and a grant of the slot voids it. After a claim of term t: earlier terms' completions name another move and are refused; later terms see the claim, and grants of t are refused once the owner accepted theirs; t itself grants the slot only while no write of its own can complete it. Ends of leases are unchanged: they wait for all grants to lapse. Upstreams that check no tokens get nothing from entries while a slot moves, as before.

What is left: with a slow store an answer is old news, so an outage that begins a round trip before the completing write is sent still leaves its slots unserved, as any outage of that write must while its outcome is unknown; and a takeover whose claim isn't written. A handover that needs no store after the slot was given up would end the first.

Tests changed: the model runs the new job; start_move is a new rule of the random model. No check was relaxed.

--- a/src/lentilgauge/contracts/lessor.py
+++ b/src/lentilgauge/contracts/lessor.py
@@ -57,8 +57,13 @@
     The controller may grant once it is `ready`, after a fresh read of the slot
     map, and until it has `stepped_down` for a later term. The next grant is due
     at `renewal_due_ms`; `granted_map_epoch` is the epoch of the slot map that
-    the latest grant or poll was made from. While `record_uncertain` is set, it
-    is unknown whether a write of the term's record took effect.
+    the latest grant or poll was made from. `confirmed_moves` has the numbers of
+    the moves claimed by this term that the upstream is asked to give up until
+    `claims_expire_ms`; the claims are checked again at `claims_due_ms`.
+    `sent_version_by_move` has the version of the slot map on which the latest
+    write that completes a move is conditional, by the move's number. While
+    `record_uncertain` is set, it is unknown whether a write of the term's
+    record took effect.
     """
 
     upstream_id: str
@@ -82,6 +87,12 @@
     earlier_terms_lapse_ms: int | None = None
     ready: bool = False
     granted_map_epoch: int = 0
+    confirmed_moves: frozenset[int] = frozenset()
+    sent_version_by_move: dict[int, int] = dataclasses.field(
+        default_factory=dict
+    )
+    claims_due_ms: int = 0
+    claims_expire_ms: int = 0
     witness_sets: set[witness.WitnessSet] = dataclasses.field(
         default_factory=set,
     )
--- a/src/lentilgauge/links/state_messages.py
+++ b/src/lentilgauge/links/state_messages.py
@@ -19,11 +19,13 @@
 class MoveBody(pydantic.BaseModel):
     """Pending move of a slot to the upstream `taker`.
 
-    `number` identifies the round of moves to which the move belongs.
+    `number` identifies the round of moves or claims to which the move belongs,
+    and `term` the owner's term whose controller has claimed it.
     """
 
     taker: str
     number: int
+    term: int = slots.UNCLAIMED
 
 
 class AssignmentBody(pydantic.BaseModel):
@@ -115,7 +117,11 @@
         ],
         epoch_by_slot=list(slot_map.epoch_by_slot),
         move_by_slot={
-            slot: MoveBody(taker=slot_move.target, number=slot_move.number)
+            slot: MoveBody(
+                taker=slot_move.target,
+                number=slot_move.number,
+                term=slot_move.term,
+            )
             for slot, slot_move in slot_map.move_by_slot.items()
         },
         lease_by_id=dict(slot_map.lease_by_id),
@@ -135,7 +141,7 @@
         ),
         epoch_by_slot=tuple(body.epoch_by_slot),
         move_by_slot={
-            slot: slots.SlotMove(move.taker, move.number)
+            slot: slots.SlotMove(move.taker, move.number, move.term)
             for slot, move in body.move_by_slot.items()
         },
         lease_by_id=body.lease_by_id,
--- a/src/lentilgauge/services/slots.py
+++ b/src/lentilgauge/services/slots.py
@@ -1,12 +1,14 @@
 """Mapping of keys to slots, and of slots to the upstreams that own them."""
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
 import xxhash
 
 #: Owner recorded for a slot that no upstream owns.
 VACANT = ''
+#: Term of a move that no controller has claimed yet.
+UNCLAIMED = 0
 
 
 def find_slot(key: bytes, slot_count: int) -> int:
@@ -18,12 +20,15 @@
 class SlotMove:
     """Pending move of a slot from its owner to another upstream.
 
-    The number is unique to one round of moves, so an owner's confirmation
-    that it has released a slot counts only for the move it was asked for.
+    The number is unique to one round of moves or claims, so an owner's
+    confirmation that it has released a slot counts only for the move it was
+    asked for. Only the controller of the owner's lease in `term` may complete
+    the move; nobody may while that is `UNCLAIMED`.
     """
 
     target: str
     number: int
+    term: int = UNCLAIMED
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,12 +73,39 @@
 
 def group_settled_slots(slot_map: SlotMap) -> dict[str, list[int]]:
     """Group the owned slots without a pending move by their owner."""
-    settled_slots_by_owner: dict[str, list[int]] = {}
+    return _group_owned_slots(slot_map, slot_map.move_by_slot.keys())
+
+
+def group_unclaimed_slots(slot_map: SlotMap) -> dict[str, list[int]]:
+    """Group the owned slots without a claimed move by their owner."""
+    claimed_slots = {
+        slot
+        for slot, slot_move in slot_map.move_by_slot.items()
+        if slot_move.term != UNCLAIMED
+    }
+    return _group_owned_slots(slot_map, claimed_slots)
+
+
+def _group_owned_slots(
+    slot_map: SlotMap, excluded_slots: Set[int]
+) -> dict[str, list[int]]:
+    slots_by_owner: dict[str, list[int]] = {}
     for slot, owner in enumerate(slot_map.owner_by_slot):
-        if slot not in slot_map.move_by_slot:
-            settled_slots_by_owner.setdefault(owner, []).append(slot)
-    settled_slots_by_owner.pop(VACANT, None)
-    return settled_slots_by_owner
+        if slot not in excluded_slots:
+            slots_by_owner.setdefault(owner, []).append(slot)
+    slots_by_owner.pop(VACANT, None)
+    return slots_by_owner
+
+
+def map_outgoing_moves(
+    slot_map: SlotMap, upstream_id: str
+) -> dict[int, SlotMove]:
+    """Map the slots that move away from an upstream to their moves."""
+    return {
+        slot: slot_move
+        for slot, slot_move in slot_map.move_by_slot.items()
+        if slot_map.owner_by_slot[slot] == upstream_id
+    }
 
 
 def list_vacant_slots(slot_map: SlotMap) -> list[int]:
@@ -130,6 +162,27 @@
     )
 
 
+def claim_moves(
+    slot_map: SlotMap, claimed_slots: Iterable[int], term: int
+) -> SlotMap:
+    """Claim pending moves for a term of their owner's lease.
+
+    The moves get a new number, so that no earlier claim can complete them.
+    """
+    number = slot_map.epoch + 1
+    claimed = {
+        slot: dataclasses.replace(
+            slot_map.move_by_slot[slot], number=number, term=term
+        )
+        for slot in claimed_slots
+    }
+    return dataclasses.replace(
+        slot_map,
+        epoch=number,
+        move_by_slot={**slot_map.move_by_slot, **claimed},
+    )
+
+
 def add_lease(
     slot_map: SlotMap,
     upstream_id: str,
--- a/src/lentilgauge/vms/lease_records.py
+++ b/src/lentilgauge/vms/lease_records.py
@@ -49,8 +49,6 @@
         return
     if _is_lost(controller, lease_state, record):
         await _release_lease(controller, lease_state, record)
-        return
-    await _complete_moves(controller, lease_state, upstream)
 
 
 def _is_responsive(
@@ -216,81 +214,3 @@
         slots.list_vacant_slots(slot_map),
     )
     return slots.change_owners(slot_map, placed) if placed else slot_map
-
-
-def list_given_up_moves(
-    lease_state: lessor.Lessor,
-    slot_map: slots.SlotMap,
-) -> dict[int, slots.SlotMove]:
-    """Map the moving slots that an upstream has given up to their moves.
-
-    Only a grant based on a slot map that contains the move counts. The
-    upstream must have acknowledged it and finished the slot's requests.
-    """
-    if lease_state.acked_slots is None:
-        return {}
-    acked_slot_numbers = {granted.slot for granted in lease_state.acked_slots}
-    return {
-        slot: slot_move
-        for slot, slot_move in slot_map.move_by_slot.items()
-        if slot_map.owner_by_slot[slot] == lease_state.upstream_id
-        and lease_state.granted_map_epoch >= slot_move.number
-        and slot not in acked_slot_numbers
-        and slot not in lease_state.busy_slots
-    }
-
-
-def _list_completable_moves(
-    controller: controller_module.Controller,
-    lease_state: lessor.Lessor,
-    upstream: catalog.Upstream,
-) -> dict[int, slots.SlotMove]:
-    """Map the slots whose move may be completed now to their moves.
-
-    For an upstream that doesn't check tokens, record when the wait of each
-    move ends. The wait begins when the slot is first found to be given up.
-    """
-    slot_map = controller.replica.slot_map_by_service[upstream.service]
-    given_up_moves = list_given_up_moves(lease_state, slot_map)
-    wait_ms = find_stale_routing_ms(controller, upstream)
-    if not wait_ms:
-        return given_up_moves
-    now_ms = controller.now_ms()
-    lease_state.deadline_by_move_number = {
-        slot_move.number: lease_state.deadline_by_move_number.get(
-            slot_move.number,
-            now_ms + wait_ms,
-        )
-        for slot_move in given_up_moves.values()
-    }
-    return {
-        slot: slot_move
-        for slot, slot_move in given_up_moves.items()
-        if now_ms >= lease_state.deadline_by_move_number[slot_move.number]
-    }
-
-
-async def _complete_moves(
-    controller: controller_module.Controller,
-    lease_state: lessor.Lessor,
-    upstream: catalog.Upstream,
-) -> None:
-    """Complete the moves of slots that the upstream has given up."""
-    service = upstream.service
-    completable_moves = _list_completable_moves(
-        controller, lease_state, upstream
-    )
-    if not completable_moves:
-        return
-
-    def finish(latest_map: slots.SlotMap) -> slots.SlotMap | None:
-        new_owner_by_slot = {
-            slot: slot_move.target
-            for slot, slot_move in completable_moves.items()
-            if latest_map.move_by_slot.get(slot) == slot_move
-        }
-        if not new_owner_by_slot:
-            return None
-        return slots.change_owners(latest_map, new_owner_by_slot)
-
-    await object_writes.change_slot_map(controller, service, finish)
--- a/src/lentilgauge/vms/renewals.py
+++ b/src/lentilgauge/vms/renewals.py
@@ -12,7 +12,7 @@
 from lentilgauge.links import state_messages, upstream_control
 from lentilgauge.services import catalog, slots
 from lentilgauge.vms import controller as controller_module
-from lentilgauge.vms import lease_records, terms
+from lentilgauge.vms import lease_records, slot_moves, terms
 
 #: Polling interval while an upstream has not acknowledged a grant or still
 #: runs requests of a moving slot.
@@ -23,15 +23,28 @@
 
 def list_slots_to_grant(
     controller: controller_module.Controller,
+    lease_state: lessor.Lessor,
     upstream: catalog.Upstream,
 ) -> tuple[lease.SlotGrant, ...]:
-    """List the slots to grant to an upstream, with their epochs."""
+    """List the slots to grant to an upstream, with their epochs.
+
+    A slot whose move was claimed is granted only while no write can complete
+    that move.
+    """
     replica = controller.replica
-    epoch_by_slot = replica.slot_map_by_service[upstream.service].epoch_by_slot
-    settled_slots_by_owner = replica.settled_slots_by_service[upstream.service]
+    slot_map = replica.slot_map_by_service[upstream.service]
+    unclaimed_slots_by_owner = replica.unclaimed_slots_by_service[
+        upstream.service
+    ]
+    granted_slots = [
+        *unclaimed_slots_by_owner.get(upstream.id, ()),
+        *slot_moves.list_retained_slots(
+            lease_state, slot_map, controller.now_ms()
+        ),
+    ]
     return tuple(
-        lease.SlotGrant(slot, epoch_by_slot[slot])
-        for slot in settled_slots_by_owner.get(upstream.id, ())
+        lease.SlotGrant(slot, slot_map.epoch_by_slot[slot])
+        for slot in sorted(granted_slots)
     )
 
 
@@ -75,7 +88,7 @@
         lease_state,
         controller.lease_timing,
         clock_reading,
-        list_slots_to_grant(controller, upstream),
+        list_slots_to_grant(controller, lease_state, upstream),
     )
 
 
@@ -110,17 +123,6 @@
     )
 
 
-def _has_outgoing_moves(
-    lease_state: lessor.Lessor,
-    slot_map: slots.SlotMap,
-) -> bool:
-    """Check whether the upstream owns slots that are moving away."""
-    return any(
-        slot_map.owner_by_slot[slot] == lease_state.upstream_id
-        for slot in slot_map.move_by_slot
-    )
-
-
 def _is_exchange_due(
     controller: controller_module.Controller,
     lease_state: lessor.Lessor,
@@ -142,10 +144,10 @@
         and lease_state.acked_slots is None
     ):
         return True
-    if _has_outgoing_moves(lease_state, slot_map):
+    if slots.map_outgoing_moves(slot_map, upstream.id):
         return True
     return lease_state.granted_slots != list_slots_to_grant(
-        controller, upstream
+        controller, lease_state, upstream
     )
 
 
--- a/src/lentilgauge/vms/replica.py
+++ b/src/lentilgauge/vms/replica.py
@@ -25,9 +25,10 @@
     in the order in which this replica applied them. `confirmed_ms` is the
     last time, on this process's clock, at which the platform had nothing
     newer. `config` is the catalog made from the configuration.
-    `settled_slots_by_service` maps each service's upstreams to the slots that
-    they own and for which no move is pending. `apply_changes` notifies
-    `change_condition` once for all changes that it applied.
+    `unclaimed_slots_by_service` maps each service's upstreams to the slots that
+    they own and whose move, if one is pending, nobody has claimed.
+    `apply_changes` notifies `change_condition` once for all changes that it
+    applied.
     """
 
     object_by_name: dict[str, platform_messages.StoredObject] = (
@@ -41,7 +42,7 @@
     slot_map_by_service: dict[str, slots.SlotMap] = dataclasses.field(
         default_factory=dict,
     )
-    settled_slots_by_service: dict[str, Mapping[str, list[int]]] = (
+    unclaimed_slots_by_service: dict[str, Mapping[str, list[int]]] = (
         dataclasses.field(
             default_factory=dict,
         )
@@ -105,8 +106,8 @@
         slot_map = state_messages.unpack_slot_map(stored.version, body)
         replica.slot_map_by_service[service] = slot_map
         # Grouped here so that lease renewals need not scan all slots each time.
-        replica.settled_slots_by_service[service] = slots.group_settled_slots(
-            slot_map
+        replica.unclaimed_slots_by_service[service] = (
+            slots.group_unclaimed_slots(slot_map)
         )
     elif name.startswith(_TERM_PREFIX):
         upstream_id = name.removeprefix(_TERM_PREFIX)
--- a/tests/controller_model.py
+++ b/tests/controller_model.py
@@ -38,6 +38,7 @@
     platform_watch,
     renewals,
     replica,
+    slot_moves,
     terms,
     witnesses,
 )
@@ -327,6 +328,10 @@
                 renewals.renew_once(vm_controller, leased)
                 for leased in leased_upstreams
             ),
+            *(
+                slot_moves.advance_moves(vm_controller, leased)
+                for leased in leased_upstreams
+            ),
             planner.plan_service_once(vm_controller, SERVICE)
             if SERVICE in vm_controller.replica.config.service_by_name
             else membership.send_heartbeats(vm_controller),
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -12,8 +12,9 @@
 
 from lentilgauge.contracts import holder, lessor
 from lentilgauge.links import http_client, state_messages
+from lentilgauge.services import slots
 from lentilgauge.standins import store as store_module
-from lentilgauge.vms import terms, witnesses
+from lentilgauge.vms import object_writes, terms, witnesses
 from tests import controller_model
 
 CONTROLLER_COUNT = 4
@@ -109,6 +110,32 @@
     def restart_controller(self, number: int) -> None:
         self.model.restart_controller(number)
 
+    @stateful.rule(
+        number=numbers,
+        slot=st.integers(0, controller_model.SLOT_COUNT - 1),
+        new_owner=upstream_names,
+    )
+    def start_move(self, number: int, slot: int, new_owner: str) -> None:
+        def start(latest_map: slots.SlotMap) -> slots.SlotMap | None:
+            owner = latest_map.owner_by_slot[slot]
+            if (
+                owner in {slots.VACANT, new_owner}
+                or new_owner not in latest_map.lease_by_id
+                or slot in latest_map.move_by_slot
+            ):
+                return None
+            return slots.start_moves(latest_map, {slot: new_owner})
+
+        self.wait(
+            self.model.run_job(
+                object_writes.change_slot_map(
+                    self.model.controllers[number],
+                    controller_model.SERVICE,
+                    start,
+                )
+            )
+        )
+
     @stateful.invariant()
     def no_slot_has_two_owners(self) -> None:
         doubly_owned = self.model.list_doubly_owned_slots()
