Log when renewals of a lease stop, and why

A controller now logs when it stops renewing a lease that its upstream holds (the slot map wasn't read, nobody vouches, or grants came late), with the age of the platform's confirmation and the time left of each vouch, and when it resumes.

--- a/src/lentilgauge/contracts/lessor.py
+++ b/src/lentilgauge/contracts/lessor.py
@@ -63,7 +63,8 @@
     `sent_version_by_move` has the version of the slot map on which the latest
     write that completes a move is conditional, by the move's number. While
     `record_uncertain` is set, it is unknown whether a write of the term's
-    record took effect.
+    record took effect. `stop_reason` is why the lease was not being renewed
+    when that was last looked at, empty if it was.
     """
 
     upstream_id: str
@@ -84,6 +85,7 @@
     own_grants_lapse_ms: int = 0
     stepped_down: bool = False
     record_uncertain: bool = False
+    stop_reason: str = ''
     earlier_terms_lapse_ms: int | None = None
     ready: bool = False
     granted_map_epoch: int = 0
--- a/src/lentilgauge/vms/renewals.py
+++ b/src/lentilgauge/vms/renewals.py
@@ -8,6 +8,7 @@
 
 from returns import result
 
+from lentilgauge import logs
 from lentilgauge.contracts import lease, lessor
 from lentilgauge.links import state_messages, upstream_control
 from lentilgauge.services import catalog, slots
@@ -92,6 +93,50 @@
     )
 
 
+def _find_stop_reason(
+    controller: controller_module.Controller,
+    lease_state: lessor.Lessor,
+    upstream: catalog.Upstream,
+) -> str:
+    """Return why the lease of a leaseholder isn't renewed, empty if it is."""
+    record = controller.replica.term_by_upstream[upstream.id]
+    slot_map = controller.replica.slot_map_by_service[upstream.service]
+    if not is_leaseholder(record, slot_map, lease_state):
+        return ''
+    if not lease_state.ready:
+        return 'slot map not read'
+    if not lease_records.may_grant(controller, lease_state):
+        return 'not vouched for'
+    granted = lease_state.own_grants_lapse_ms > 0
+    if granted and controller.now_ms() >= lease_state.own_grants_lapse_ms:
+        return 'grants late'
+    return ''
+
+
+def _log_stop(
+    controller: controller_module.Controller,
+    lease_state: lessor.Lessor,
+    upstream: catalog.Upstream,
+) -> None:
+    """Log when renewals of a lease stop, with the reason, and resume."""
+    stop_reason = _find_stop_reason(controller, lease_state, upstream)
+    if stop_reason == lease_state.stop_reason:
+        return
+    lease_state.stop_reason = stop_reason
+    now_ms = controller.now_ms()
+    logs.log_change(
+        'renewals stopped' if stop_reason else 'renewals resumed',
+        upstream=upstream.id,
+        term=lease_state.term,
+        reason=stop_reason,
+        confirmed_age_ms=controller_module.get_confirmed_age_ms(controller),
+        vouches_left_ms=sorted(
+            deadline_ms - now_ms
+            for deadline_ms in lease_state.vouch_deadline_by_witness.values()
+        ),
+    )
+
+
 async def send_grant_or_poll(
     controller: controller_module.Controller,
     lease_state: lessor.Lessor,
@@ -99,6 +144,7 @@
 ) -> None:
     """Send one grant or poll and apply the reply to the lease's state."""
     slot_map = controller.replica.slot_map_by_service[upstream.service]
+    _log_stop(controller, lease_state, upstream)
     grant = make_grant_or_poll(controller, lease_state, upstream)
     lease_state.granted_map_epoch = slot_map.epoch
     controller.metrics.count('grants_sent')
