--- a/src/lentilgauge/vms/renewals.py
+++ b/src/lentilgauge/vms/renewals.py
@@ -8,11 +8,12 @@
 
 from returns import result
 
+from lentilgauge import logs
 from lentilgauge.contracts import lease, lessor
 from lentilgauge.links import state_messages, upstream_control
 from lentilgauge.services import catalog, slots
 from lentilgauge.vms import controller as controller_module
-from lentilgauge.vms import lease_records, terms
+from lentilgauge.vms import lease_records, slot_moves, terms
 
 #: Polling interval while an upstream has not acknowledged a grant or still
 #: runs requests of a moving slot.
@@ -23,15 +24,28 @@
 
 def list_slots_to_grant(
     controller: controller_module.Controller,
+    lease_state: lessor.Lessor,
     upstream: catalog.Upstream,
 ) -> tuple[lease.SlotGrant, ...]:
-    """List the slots to grant to an upstream, with their epochs."""
+    """List the slots to grant to an upstream, with their epochs.
+
+    A slot whose move was claimed is granted only while no write can complete
+    that move.
+    """
     replica = controller.replica
-    epoch_by_slot = replica.slot_map_by_service[upstream.service].epoch_by_slot
-    settled_slots_by_owner = replica.settled_slots_by_service[upstream.service]
+    slot_map = replica.slot_map_by_service[upstream.service]
+    unclaimed_slots_by_owner = replica.unclaimed_slots_by_service[
+        upstream.service
+    ]
+    granted_slots = [
+        *unclaimed_slots_by_owner.get(upstream.id, ()),
+        *slot_moves.list_retained_slots(
+            lease_state, slot_map, controller.now_ms()
+        ),
+    ]
     return tuple(
-        lease.SlotGrant(slot, epoch_by_slot[slot])
-        for slot in settled_slots_by_owner.get(upstream.id, ())
+        lease.SlotGrant(slot, slot_map.epoch_by_slot[slot])
+        for slot in sorted(granted_slots)
     )
 
 
@@ -75,7 +89,51 @@
         lease_state,
         controller.lease_timing,
         clock_reading,
-        list_slots_to_grant(controller, upstream),
+        list_slots_to_grant(controller, lease_state, upstream),
+    )
+
+
+def _find_stop_reason(
+    controller: controller_module.Controller,
+    lease_state: lessor.Lessor,
+    upstream: catalog.Upstream,
+) -> str:
+    """Return why the lease of a leaseholder isn't renewed, empty if it is."""
+    record = controller.replica.term_by_upstream[upstream.id]
+    slot_map = controller.replica.slot_map_by_service[upstream.service]
+    if not is_leaseholder(record, slot_map, lease_state):
+        return ''
+    if not lease_state.ready:
+        return 'slot map not read'
+    if not lease_records.may_grant(controller, lease_state):
+        return 'not vouched for'
+    granted = lease_state.own_grants_lapse_ms > 0
+    if granted and controller.now_ms() >= lease_state.own_grants_lapse_ms:
+        return 'grants late'
+    return ''
+
+
+def _log_stop(
+    controller: controller_module.Controller,
+    lease_state: lessor.Lessor,
+    upstream: catalog.Upstream,
+) -> None:
+    """Log when renewals of a lease stop, with the reason, and resume."""
+    stop_reason = _find_stop_reason(controller, lease_state, upstream)
+    if stop_reason == lease_state.stop_reason:
+        return
+    lease_state.stop_reason = stop_reason
+    now_ms = controller.now_ms()
+    logs.log_change(
+        'renewals stopped' if stop_reason else 'renewals resumed',
+        upstream=upstream.id,
+        term=lease_state.term,
+        reason=stop_reason,
+        confirmed_age_ms=controller_module.get_confirmed_age_ms(controller),
+        vouches_left_ms=sorted(
+            deadline_ms - now_ms
+            for deadline_ms in lease_state.vouch_deadline_by_witness.values()
+        ),
     )
 
 
@@ -86,6 +144,7 @@
 ) -> None:
     """Send one grant or poll and apply the reply to the lease's state."""
     slot_map = controller.replica.slot_map_by_service[upstream.service]
+    _log_stop(controller, lease_state, upstream)
     grant = make_grant_or_poll(controller, lease_state, upstream)
     lease_state.granted_map_epoch = slot_map.epoch
     controller.metrics.count('grants_sent')
@@ -110,17 +169,6 @@
     )
 
 
-def _has_outgoing_moves(
-    lease_state: lessor.Lessor,
-    slot_map: slots.SlotMap,
-) -> bool:
-    """Check whether the upstream owns slots that are moving away."""
-    return any(
-        slot_map.owner_by_slot[slot] == lease_state.upstream_id
-        for slot in slot_map.move_by_slot
-    )
-
-
 def _is_exchange_due(
     controller: controller_module.Controller,
     lease_state: lessor.Lessor,
@@ -142,10 +190,10 @@
         and lease_state.acked_slots is None
     ):
         return True
-    if _has_outgoing_moves(lease_state, slot_map):
+    if slots.map_outgoing_moves(slot_map, upstream.id):
         return True
     return lease_state.granted_slots != list_slots_to_grant(
-        controller, upstream
+        controller, lease_state, upstream
     )
 
 
