Count what a cold upstream got before it was known as cold

A VM now counts all that it has sent in the last second, and forgets what was sent before a failed connection, which went to an earlier process: a VM with resets waits no longer than before. At most three requests per VM wait up to a second after a restart that came without failures.

The new test has two requests of each of three VMs before an announcement. It failed before: 15 requests in a second. Another, that failed connections cost nothing, passed before. What the granter's own orders show is not passed on yet: until the announcement an upstream may still get more than its rate.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -240,6 +240,7 @@
             load.reachability, upstream.incarnation, now_ms, suspect_ms
         )
         gateway.upstream_loads.suspect_ids.add(upstream.id)
+        upstream_load.forget_warm(load)
     elif outcome.status:
         suspicions.record_response(load.reachability, now_ms, suspect_ms)
 
--- a/src/lentilgauge/upstreams/upstream_load.py
+++ b/src/lentilgauge/upstreams/upstream_load.py
@@ -48,7 +48,8 @@
     to it since. `mean_latency_ms` is the moving average of its execution times.
     Until `suspended_until_ms` it gets no requests. `reachability` tells whether
     it may have restarted. `cold_sent_ms` has the times of recent requests sent
-    to it in cold start.
+    to it in cold start, and `warm_sent_ms` those of others since the last
+    connection failure: its cold start may be announced late.
     """
 
     in_flight: int = 0
@@ -63,6 +64,9 @@
     cold_sent_ms: collections.deque[int] = dataclasses.field(
         default_factory=collections.deque,
     )
+    warm_sent_ms: collections.deque[int] = dataclasses.field(
+        default_factory=collections.deque,
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -134,10 +138,16 @@
 
     `max_per_second` is this VM's share of the upstream's rate.
     """
-    sent_ms = load.cold_sent_ms
-    while sent_ms and sent_ms[0] <= now_ms - _COLD_WINDOW_MS:
-        sent_ms.popleft()
-    return len(sent_ms) < max_per_second
+    _forget_old(load, now_ms)
+    recent = len(load.cold_sent_ms) + len(load.warm_sent_ms)
+    return recent < max_per_second
+
+
+def _forget_old(load: UpstreamLoad, now_ms: int) -> None:
+    """Forget requests that were sent before the cold window."""
+    for sent_ms in (load.cold_sent_ms, load.warm_sent_ms):
+        while sent_ms and sent_ms[0] <= now_ms - _COLD_WINDOW_MS:
+            sent_ms.popleft()
 
 
 def divide_cold_rate(rate: float, vm_count: int, vm_index: int) -> float:
@@ -172,8 +182,17 @@
     """Count a request that is about to be sent to an upstream."""
     load.in_flight += 1
     load.sent_since_report += 1
-    if cold:
-        load.cold_sent_ms.append(now_ms)
+    _forget_old(load, now_ms)
+    sent_ms = load.cold_sent_ms if cold else load.warm_sent_ms
+    sent_ms.append(now_ms)
+
+
+def forget_warm(load: UpstreamLoad) -> None:
+    """Forget requests that an upstream got before it couldn't be reached.
+
+    If it restarts, they went to its previous incarnation.
+    """
+    load.warm_sent_ms.clear()
 
 
 def record_reported_load(
--- a/tests/test_suspicion_sharing.py
+++ b/tests/test_suspicion_sharing.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import unittest
 
 import msgspec
@@ -190,6 +191,42 @@
             _MAX_COLD_REQUESTS_PER_SECOND,
         )
 
+    def announce_cold_start(self) -> None:
+        """Let all VMs know a process that has just started, cold."""
+        for gateway in self.gateways:
+            upstream_by_id = gateway.state_cache.upstream_by_id
+            upstream_by_id['u0'] = dataclasses.replace(
+                upstream_by_id['u0'],
+                incarnation=2,
+                cold_until_ms=self.clock.now_ms + 2900,
+            )
+
+    async def test_requests_before_a_late_announcement_count(self) -> None:
+        """Guard against a full cold rate on top of what came before it."""
+        for gateway in self.gateways * 2:
+            await self.send_request(gateway)
+        self.clock.now_ms += _STEP_MS
+        self.announce_cold_start()
+        await self.run_for(900, (0, 1, 2))
+        self.assertLessEqual(
+            self.upstream.count_busiest_second(),
+            _MAX_COLD_REQUESTS_PER_SECOND,
+        )
+        self.assertEqual(len(self.upstream.answered_ms_by_vm), _VM_COUNT)
+
+    async def test_requests_before_a_failed_connection_cost_nothing(
+        self,
+    ) -> None:
+        """Guard against waiting for requests that an earlier process got."""
+        await self.run_for(100, (0,))
+        self.upstream.unreached_vms = set(self.vms)
+        await self.send_request(self.gateways[0])
+        self.upstream.unreached_vms.clear()
+        self.upstream.answered_ms_by_vm.clear()
+        self.announce_cold_start()
+        await self.run_for(500, (0,))
+        self.assertEqual(len(self.upstream.answered_ms_by_vm['vm-0']), 3)
+
     async def test_a_cut_link_costs_other_vms_nothing(self) -> None:
         """Guard against one VM's bad link limiting a sound upstream."""
         self.upstream.unreached_vms = {'vm-2'}
