Suspect an upstream that refused the granter's orders and is back

A check of the granter was answered, keys returned to it 0.16 s later, and it got seven requests in 90 ms as a warm upstream, 0.26 s before its announcement.

Hypothesis: what the granter's orders show of a restart reaches no VM's limits on cold upstreams. Orders count failures in a streak of their own, which ends with the answer or with a new incarnation.

If that streak has an order that reached nobody, or another process, the granter now suspects the upstream when a check is answered, and tells all VMs on the way that followers' suspicions take, unless some VM has had an answer within 350 ms. It ends with the announcement, or after the time that one takes.

The new test failed before: no VM of four suspected the upstream once it had keys again. For it the model's hosts of ended upstreams can refuse connections, and its service has a cold start. Not covered: an upstream that returns by a renewal instead of a check, and one that was silent without refusing, as if its host had lost power.

--- a/src/lentilgauge/vms/suspicion_sharing.py
+++ b/src/lentilgauge/vms/suspicion_sharing.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator, Mapping
 
 from lentilgauge.links import peer_link
-from lentilgauge.upstreams import suspicions, upstream_load
+from lentilgauge.upstreams import suspicions, upstream_load, upstream_state
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import state_cache as state_cache_module
 
@@ -90,10 +90,34 @@
         if counters.executed:
             load = upstream_load.get_load(gateway.upstream_loads, answering_id)
             load.reachability.answered_ms = now_ms
+    for reported in (message.suspicion_by_upstream, pack_own(gateway)):
+        _pass_on(gateway, reported)
+
+
+def suspect_returned(
+    gateway: gateway_module.Gateway, upstream: upstream_state.Upstream
+) -> None:
+    """Suspect an upstream that this granter's orders reach again.
+
+    It gets keys before callers' requests could show a restart to any VM.
+    """
+    suspect_ms = gateway_module.get_unannounced_cold_ms(
+        gateway, upstream.service
+    )
+    suspicion = peer_link.SuspicionMessage(
+        incarnation=upstream.incarnation, remaining_ms=suspect_ms, failing=True
+    )
+    _pass_on(gateway, {upstream.id: suspicion})
+
+
+def _pass_on(
+    gateway: gateway_module.Gateway,
+    suspicion_by_upstream: Mapping[str, peer_link.SuspicionMessage],
+) -> None:
+    """Adopt the suspicions that are plausible; tell followers of new ones."""
     plausible = {
         upstream_id: suspicion
-        for reported in (message.suspicion_by_upstream, pack_own(gateway))
-        for upstream_id, suspicion in reported.items()
+        for upstream_id, suspicion in suspicion_by_upstream.items()
         if _is_plausible(gateway, upstream_id, suspicion)
     }
     if adopt_shared(gateway, plausible):
--- a/src/lentilgauge/vms/upstream_checks.py
+++ b/src/lentilgauge/vms/upstream_checks.py
@@ -14,6 +14,7 @@
 from lentilgauge.services import key_ranges
 from lentilgauge.upstreams import upstream_state
 from lentilgauge.vms import granter_state as granter_state_module
+from lentilgauge.vms import suspicion_sharing
 
 
 def start_due_checks(granter_state: granter_state_module.GranterState) -> None:
@@ -123,7 +124,11 @@
     if granter_state.absence_by_upstream.get(upstream.id) is not absence:
         return
     if answered:
-        granter_state.failure_streak_by_upstream.pop(upstream.id, None)
+        failure_streak = granter_state.failure_streak_by_upstream.pop(
+            upstream.id, None
+        )
+        if failure_streak is not None and failure_streak.unreachable:
+            suspicion_sharing.suspect_returned(granter_state.gateway, upstream)
         upstream_absence.end_absence(absence, current_ms)
         events.log_event(
             events.Event.UPSTREAM_RETURNED,
--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -56,7 +56,8 @@
     `late_order_probability` is the probability that an order is executed late.
     `checks_expected_ids` is whether upstreams reject orders for another id,
     `exchanges_addresses` whether random faults exchange their addresses, and
-    `refuses_cut_calls` whether cut links between VMs refuse connections.
+    `refuses_cut_calls` whether cut links between VMs refuse connections, and
+    `refuses_when_down` whether hosts of ended upstreams do.
     `entry_by_id` has the upstreams' entries in the store; that of an upstream
     which has ended stays for `ENTRY_EXPIRY_S`. `last_fence_by_grant` maps the
     first key, the last key and the holder's incarnation to the last fencing
@@ -86,6 +87,7 @@
         self.checks_expected_ids = bool(seed % 2)
         self.exchanges_addresses = self.checks_expected_ids
         self.refuses_cut_calls = False
+        self.refuses_when_down = False
         self.last_incarnation = 0
         self.order_count_by_upstream = collections.Counter[str]()
         self.entry_by_id: dict[str, store_link.Document] = {}
@@ -335,7 +337,12 @@
         )
         upstream = self.upstream_by_name[order.upstream.address]
         self.order_count_by_upstream[upstream.name] += 1
-        if (source, upstream.name) in self.cut_links or not upstream.alive:
+        is_cut = (source, upstream.name) in self.cut_links
+        if self.refuses_when_down and not upstream.alive and not is_cut:
+            return upstream_link.KeyReply(
+                answer=upstream_link.OrderAnswer.UNREACHABLE,
+            )
+        if is_cut or not upstream.alive:
             await asyncio.sleep(order.timeout_ms / 1000)
             return unanswered
         if self.checks_expected_ids and order.upstream.id != upstream.id:
--- a/tests/granting_upstreams.py
+++ b/tests/granting_upstreams.py
@@ -152,6 +152,7 @@
                 health_path='',
                 max_connections=10,
                 cold_start_requests_per_second=5,
+                cold_start_ms=3000,
             ),
         },
         idle_timeout_ms=1,
--- a/tests/test_returning_upstreams.py
+++ b/tests/test_returning_upstreams.py
@@ -6,6 +6,7 @@
 import loguru
 
 from lentilgauge.links import peer_link
+from lentilgauge.upstreams import suspicions, upstream_load
 from tests import granting_model, test_granting_model, virtual_time
 
 #: One key in each of so many equal spans is requested in each step.
@@ -54,6 +55,22 @@
     )
 
 
+def list_suspecting_vms(model: granting_model.Model) -> list[str]:
+    """List the VMs that take u1 for one that may be cold."""
+    now_ms = model.now_ms()
+    return [
+        name
+        for name, vm in model.vm_by_name.items()
+        if suspicions.is_suspect(
+            vm.gateway.state_cache.upstream_by_id['u1'],
+            upstream_load.get_load(
+                vm.gateway.upstream_loads, 'u1'
+            ).reachability,
+            now_ms,
+        )
+    ]
+
+
 class ReturningUpstreamsTest(unittest.TestCase):
     """An upstream that answers orders again gets keys within seconds."""
 
@@ -95,6 +112,22 @@
             with self.subTest(cut_s=cut_s):
                 self.run_scenario(scenario)
 
+    def test_all_vms_suspect_a_restart_before_keys_return(self) -> None:
+        """Guard against a full load on a cold process not yet announced."""
+
+        async def scenario(model: granting_model.Model) -> None:
+            model.refuses_when_down = True
+            model.kill_upstream('u1', listed=True)
+            await run_under_load(model, 4, 'u1')
+            model.start_upstream('u1', announced_after=60)
+            upstream = model.upstream_by_name['u1']
+            waited_s: float = 0
+            while waited_s < 6 and not upstream.list_live_holds():
+                waited_s += await run_under_load(model, _STEP_S, 'u1')
+            self.assertEqual(list_suspecting_vms(model), model.vm_names)
+
+        self.run_scenario(scenario)
+
     def test_an_absent_upstream_is_checked_every_two_seconds_at_most(
         self,
     ) -> None:
