Say which routes a soak found unserved

The report now names them, and the soak's log has the time that all routes took after start-up and after the last fault.

--- a/src/lentilgauge/load/soak.py
+++ b/src/lentilgauge/load/soak.py
@@ -182,9 +182,13 @@
     soak_state: soak_faults.SoakState,
     caller: soak_callers.Caller,
     seconds: float,
-) -> bool:
-    """Wait until every gateway serves every route; return whether in time."""
-    deadline_seconds = time.monotonic() + seconds
+) -> list[str]:
+    """Wait until every gateway serves every route.
+
+    Return what isn't known to be served in time: gateways, each with a route.
+    """
+    started_at = time.monotonic()
+    deadline_seconds = started_at + seconds
     pending_probes = [
         (gateway, route_spec.name)
         for gateway in soak_state.testbed.gateways
@@ -206,7 +210,14 @@
             pending_probes.pop(0)
         else:
             await asyncio.sleep(_POLL_SECONDS)
-    return not pending_probes
+    unserved = [f'{gateway.vm}/{route}' for gateway, route in pending_probes]
+    soak_checker.log_event(
+        soak_state.checker,
+        'served',
+        after_seconds=time.monotonic() - started_at,
+        unserved=unserved,
+    )
+    return unserved
 
 
 async def _monitor_gateways(soak_state: soak_faults.SoakState) -> None:
@@ -233,14 +244,13 @@
 
 async def _run_faults(plan: Plan, soak_state: soak_faults.SoakState) -> None:
     readiness_caller = _make_caller(soak_state, 'watcher')
-    if not await _wait_until_served(
-        soak_state,
-        readiness_caller,
-        _START_TIMEOUT_SECONDS,
-    ):
+    unserved = await _wait_until_served(
+        soak_state, readiness_caller, _START_TIMEOUT_SECONDS
+    )
+    if unserved:
         soak_checker.record_violation(
             soak_state.checker,
-            'not serving every route in time after start-up',
+            f'not serving every route in time after start-up: {unserved}',
         )
         return
     callers = [
@@ -271,14 +281,13 @@
         if plan.checks_time_bounds
         else _START_TIMEOUT_SECONDS
     )
-    if not await _wait_until_served(
-        soak_state,
-        readiness_caller,
-        recovery_seconds,
-    ):
+    unserved = await _wait_until_served(
+        soak_state, readiness_caller, recovery_seconds
+    )
+    if unserved:
         soak_checker.record_violation(
             soak_state.checker,
-            'not serving every route in time after the last fault',
+            f'not serving every route in time after the last fault: {unserved}',
         )
     for task in tasks:
         task.cancel()
