Show in a test that a thawed VM overloads a cold upstream

Idea, not tried: an upstream that a VM has neither had an answer from nor heard of, through the granter or the store, for longer than a restart takes is suspected at the first request to it. A granter needs its own measure of that: granter_heard_ms stands while it grants.

--- a/tests/test_suspicion_sharing.py
+++ b/tests/test_suspicion_sharing.py
@@ -191,9 +191,11 @@
             _MAX_COLD_REQUESTS_PER_SECOND,
         )
 
-    def announce_cold_start(self) -> None:
-        """Let all VMs know a process that has just started, cold."""
+    def announce_cold_start(self, *vms: str) -> None:
+        """Let VMs, or all, know a process that has just started, cold."""
         for gateway in self.gateways:
+            if vms and gateway.local_peer.vm not in vms:
+                continue
             upstream_by_id = gateway.state_cache.upstream_by_id
             upstream_by_id['u0'] = dataclasses.replace(
                 upstream_by_id['u0'],
@@ -214,6 +216,24 @@
         )
         self.assertEqual(len(self.upstream.answered_ms_by_vm), _VM_COUNT)
 
+    async def test_a_vm_that_stood_still_sends_no_full_load(self) -> None:
+        """Guard against sending by what was known before a pause.
+
+        The VM neither follows nor sends for 4 s, then sends before it follows.
+        """
+        await self.run_for(310, (0, 1, 2))
+        self.clock.now_ms += 4000
+        self.upstream.answered_ms_by_vm.clear()
+        self.announce_cold_start('vm-0', 'vm-1')
+        for _ in range(20):
+            for gateway in self.gateways:
+                await self.send_request(gateway)
+            self.clock.now_ms += _STEP_MS
+        self.assertLessEqual(
+            self.upstream.count_busiest_second(),
+            _MAX_COLD_REQUESTS_PER_SECOND,
+        )
+
     async def test_requests_before_a_failed_connection_cost_nothing(
         self,
     ) -> None:
