--- a/src/lentilgauge/load/soak.py
+++ b/src/lentilgauge/load/soak.py
@@ -16,6 +16,7 @@
     soak_checker,
     soak_faults,
     soak_restarts,
+    soak_stalls,
 )
 from lentilgauge.standins import (
     fault_proxy,
@@ -181,9 +182,13 @@
     soak_state: soak_faults.SoakState,
     caller: soak_callers.Caller,
     seconds: float,
-) -> bool:
-    """Wait until every gateway serves every route; return whether in time."""
-    deadline_seconds = time.monotonic() + seconds
+) -> list[str]:
+    """Wait until every gateway serves every route.
+
+    Return what isn't known to be served in time: gateways, each with a route.
+    """
+    started_at = time.monotonic()
+    deadline_seconds = started_at + seconds
     pending_probes = [
         (gateway, route_spec.name)
         for gateway in soak_state.testbed.gateways
@@ -205,7 +210,14 @@
             pending_probes.pop(0)
         else:
             await asyncio.sleep(_POLL_SECONDS)
-    return not pending_probes
+    unserved = [f'{gateway.vm}/{route}' for gateway, route in pending_probes]
+    soak_checker.log_event(
+        soak_state.checker,
+        'served',
+        after_seconds=time.monotonic() - started_at,
+        unserved=unserved,
+    )
+    return unserved
 
 
 async def _monitor_gateways(soak_state: soak_faults.SoakState) -> None:
@@ -232,14 +244,13 @@
 
 async def _run_faults(plan: Plan, soak_state: soak_faults.SoakState) -> None:
     readiness_caller = _make_caller(soak_state, 'watcher')
-    if not await _wait_until_served(
-        soak_state,
-        readiness_caller,
-        _START_TIMEOUT_SECONDS,
-    ):
+    unserved = await _wait_until_served(
+        soak_state, readiness_caller, _START_TIMEOUT_SECONDS
+    )
+    if unserved:
         soak_checker.record_violation(
             soak_state.checker,
-            'not serving every route in time after start-up',
+            f'not serving every route in time after start-up: {unserved}',
         )
         return
     callers = [
@@ -270,14 +281,13 @@
         if plan.checks_time_bounds
         else _START_TIMEOUT_SECONDS
     )
-    if not await _wait_until_served(
-        soak_state,
-        readiness_caller,
-        recovery_seconds,
-    ):
+    unserved = await _wait_until_served(
+        soak_state, readiness_caller, recovery_seconds
+    )
+    if unserved:
         soak_checker.record_violation(
             soak_state.checker,
-            'not serving every route in time after the last fault',
+            f'not serving every route in time after the last fault: {unserved}',
         )
     for task in tasks:
         task.cancel()
@@ -288,17 +298,26 @@
 async def run_plan(plan: Plan) -> SoakOutcome:
     """Run one soak and shut down everything that it started."""
     soak_state = await _start_system(plan)
+    checker = soak_state.checker
+    heartbeat = asyncio.ensure_future(
+        soak_stalls.keep_measuring(checker.stalls)
+    )
     try:
         await _run_faults(plan, soak_state)
     finally:
+        heartbeat.cancel()
         await gateway_testbed.close_testbed(soak_state.testbed)
         for proxy in (
             *soak_state.store_proxy_by_vm.values(),
             *soak_state.proxy_by_upstream.values(),
         ):
             await fault_proxy.close_proxy(proxy)
+        (plan.folder / 'soak.log').write_text(
+            ''.join(f'{line}\n' for line in checker.event_lines),
+            encoding='utf-8',
+        )
     return SoakOutcome(
-        checker=soak_state.checker, injected_faults=soak_state.injected_faults
+        checker=checker, injected_faults=soak_state.injected_faults
     )
 
 
@@ -307,9 +326,13 @@
         f'{name} {count}'
         for name, count in sorted(outcome.checker.event_counts.items())
     )
+    stalls = outcome.checker.stalls.lengths_seconds
     lines = [
         f'seed {plan.seed}: {len(outcome.injected_faults)} faults, '
         f'{event_counts}',
+        f'  the soak stood still {len(stalls)} times, '
+        f'{max(stalls, default=0):.1f} s at most',
+        *(f'  exempt: {exempt}' for exempt in outcome.checker.exemptions),
         *(f'  broken: {violation}' for violation in outcome.checker.violations),
     ]
     return '\n'.join((*lines, ''))
