Take upstreams for cold if news of them are out of date

Cause: nothing says how old a VM's knowledge of an upstream is. Hypothesis: a VM that has neither had an answer of the upstream nor heard the granter for longer than a granter's replacement takes may have missed a restart, and an answer after that proves nothing, as it may be a cold process's. So from its first look at the upstream on, until it hears the granter, it keeps to its share of the cold rate. A granter counts as heard while it has the right to order, which lapses while it stands still. A VM that has never heard a granter has nothing old to go by.

The tests of the granting model, successors, relays and returning upstreams pass (47).

--- a/src/lentilgauge/callers/upstream_choice.py
+++ b/src/lentilgauge/callers/upstream_choice.py
@@ -88,7 +88,7 @@
     if upstream is not None:
         load = upstream_load.get_load(gateway.upstream_loads, upstream.id)
         _record_choice(request, upstream, load, now_ms)
-        may_be_cold = _may_be_cold(upstream, load, now_ms)
+        may_be_cold = _may_be_cold(gateway, upstream, load.reachability)
         upstream_load.record_sent(load, now_ms, cold=may_be_cold)
     return upstream
 
@@ -165,24 +165,29 @@
     load = upstream_load.get_load(gateway.upstream_loads, upstream.id)
     if not upstream_load.has_room(upstream, load, now_ms):
         return False
-    if not _may_be_cold(upstream, load, now_ms):
+    if not _may_be_cold(gateway, upstream, load.reachability):
         return True
     max_per_second = gateway_module.get_cold_share(gateway, upstream)
     return upstream_load.allows_cold(load, now_ms, max_per_second)
 
 
 def _may_be_cold(
+    gateway: gateway_module.Gateway,
     upstream: upstream_state.Upstream,
-    load: upstream_load.UpstreamLoad,
-    now_ms: int,
+    reachability: suspicions.Reachability,
 ) -> bool:
     """Check whether an upstream is, or may be, in cold start.
 
     A restarted upstream may be cold before its announcement has arrived.
     """
+    now_ms = gateway.now_ms()
+    granter_heard_ms = gateway.state_cache.granter_heard_ms
+    suspicions.check_news(reachability, granter_heard_ms, now_ms)
     if upstream.cold_until_ms > now_ms:
         return True
-    return suspicions.is_suspect(upstream, load.reachability, now_ms)
+    return suspicions.is_outdated(
+        reachability, granter_heard_ms
+    ) or suspicions.is_suspect(upstream, reachability, now_ms)
 
 
 def _find_least_loaded(
--- a/src/lentilgauge/upstreams/suspicions.py
+++ b/src/lentilgauge/upstreams/suspicions.py
@@ -20,6 +20,9 @@
 #: An upstream that answered some VM within this time hasn't crashed. VMs report
 #: their answers about this often.
 _ANSWER_TTL_MS = 350
+#: What a VM last heard of an upstream is out of date after this time, which is
+#: longer than it takes to replace a granter.
+_NEWS_TTL_MS = 2000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -42,7 +45,8 @@
     make, the first at `failing_since_ms` and the last at `failed_ms`.
     `answered_ms` is when an answer was last seen or reported. `own` is this
     VM's suspicion and `shared` that of another. With `extends_shared` the next
-    answer to this VM extends the latter.
+    answer to this VM extends the latter. `outdated_ms` is when this VM last
+    found that what it knew of the upstream was out of date, or 0.
     """
 
     connect_failures: int = 0
@@ -52,6 +56,7 @@
     own: Suspicion = dataclasses.field(default_factory=Suspicion)
     shared: Suspicion = dataclasses.field(default_factory=Suspicion)
     extends_shared: bool = False
+    outdated_ms: int = 0
 
 
 def record_connect_failure(
@@ -109,6 +114,28 @@
     )
 
 
+def check_news(
+    reachability: Reachability, granter_heard_ms: int, now_ms: int
+) -> None:
+    """Note if this VM may have missed a restart, as when it stood still.
+
+    It has then neither had an answer from the upstream nor heard of the granter
+    for some time. A VM that has yet to hear of a granter knows of no earlier
+    process either.
+    """
+    last_news_ms = max(reachability.answered_ms, granter_heard_ms)
+    if granter_heard_ms and now_ms - last_news_ms >= _NEWS_TTL_MS:
+        reachability.outdated_ms = now_ms
+
+
+def is_outdated(reachability: Reachability, granter_heard_ms: int) -> bool:
+    """Return whether this VM hasn't heard of the granter since it noted that.
+
+    An answer doesn't tell whether the upstream has restarted.
+    """
+    return 0 < granter_heard_ms <= reachability.outdated_ms
+
+
 def is_failing(reachability: Reachability) -> bool:
     """Return whether connections fail, and not only in one burst."""
     span_ms = reachability.failed_ms - reachability.failing_since_ms
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -186,6 +186,17 @@
     ]
 
 
+def note_granter_heard(granter_state: GranterState) -> None:
+    """Note that this VM's state is current while its right to order lasts.
+
+    A granter that stood still doesn't know of changes meanwhile until the store
+    has confirmed its term.
+    """
+    if may_send_orders(granter_state):
+        gateway = granter_state.gateway
+        gateway.state_cache.granter_heard_ms = gateway.now_ms()
+
+
 def _find_majority_followed_ms(granter_state: GranterState) -> int | None:
     """Return the latest time at which a majority followed the term.
 
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -325,12 +325,9 @@
 
 def _run_due_work(granter_state: granter_state_module.GranterState) -> None:
     """Apply reports, update the assignment and start orders that are due."""
-    gateway = granter_state.gateway
+    granter_state_module.note_granter_heard(granter_state)
     granter_upstreams.update_upstreams(granter_state)
-    gateway.pending_reports.append(gateway_module.collect_report(gateway))
-    for report in gateway.pending_reports:
-        key_assignment.apply_report(granter_state, report)
-    gateway.pending_reports.clear()
+    _apply_reports(granter_state)
     if store_watch.has_loaded_all_topics(granter_state):
         key_assignment.assign_keys(granter_state)
     key_orders.start_due_orders(granter_state)
@@ -338,6 +335,15 @@
     _log_order_suspension(granter_state)
 
 
+def _apply_reports(granter_state: granter_state_module.GranterState) -> None:
+    """Apply the VMs' reports, this VM's included."""
+    gateway = granter_state.gateway
+    gateway.pending_reports.append(gateway_module.collect_report(gateway))
+    for report in gateway.pending_reports:
+        key_assignment.apply_report(granter_state, report)
+    gateway.pending_reports.clear()
+
+
 def _log_order_suspension(
     granter_state: granter_state_module.GranterState,
 ) -> None:
