Make requests and granters of tests in one place

Four tests spelled out the same request and four the same state of a granter, which each new field would have changed.

--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -8,6 +8,8 @@
 from tornado import httputil
 
 from lentilgauge import metrics
+from lentilgauge.callers import gateway_request
+from lentilgauge.contracts import grant_timing, ownership
 from lentilgauge.links import (
     http_client,
     peer_link,
@@ -18,6 +20,7 @@
 from lentilgauge.upstreams import upstream_load, upstream_state
 from lentilgauge.vms import (
     gateway,
+    granter_state,
 )
 from lentilgauge.vms import (
     state_cache as state_cache_module,
@@ -191,3 +194,36 @@
         random=random.Random(1),
         upstream_loads=upstream_load.UpstreamLoads(failure_domain='d'),
     )
+
+
+def make_request(
+    route: routes.Route, now_ms: int, *, remaining_ms: int = 900
+) -> gateway_request.Request:
+    """Make a request for a pool that has just arrived, without a body."""
+    return gateway_request.Request(
+        id='r1',
+        route=route,
+        service='s',
+        key=None,
+        method='GET' if route.idempotent else 'POST',
+        target=f'{route.prefix}1',
+        headers=httputil.HTTPHeaders(),
+        body=b'',
+        arrived_ms=now_ms,
+        deadline_ms=now_ms + remaining_ms,
+    )
+
+
+def make_granter_state(
+    granting_gateway: gateway.Gateway, owned: ownership.Ownership
+) -> granter_state.GranterState:
+    """Make the state of a granter that was confirmed at time 0."""
+    return granter_state.GranterState(
+        gateway=granting_gateway,
+        ownership=owned,
+        revision=1,
+        recorded_fence_limit=0,
+        reserved_fence_limit=0,
+        confirmed_ms=0,
+        earlier_orders=grant_timing.EarlierOrdersBounds(),
+    )
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -4,9 +4,7 @@
 import dataclasses
 import unittest
 
-from tornado import httputil
-
-from lentilgauge.callers import gateway_request, upstream_choice
+from lentilgauge.callers import upstream_choice
 from lentilgauge.contracts import ownership
 from lentilgauge.links import (
     peer_link,
@@ -45,19 +43,11 @@
         admitted = 0
         for _ in range(0, duration_ms, 10):
             now_ms = self.clock.now_ms
-            request = gateway_request.Request(
-                id='r',
-                route=gateway_fixtures.make_configuration().route_by_host_and_prefix[
+            request = gateway_fixtures.make_request(
+                gateway_fixtures.make_configuration().route_by_host_and_prefix[
                     gateway_fixtures.HOST, '/write/'
                 ],
-                service='s',
-                key=None,
-                method='POST',
-                target='/write/1',
-                headers=httputil.HTTPHeaders(),
-                body=b'',
-                arrived_ms=now_ms,
-                deadline_ms=now_ms + 900,
+                now_ms,
             )
             if (
                 upstream_choice.try_reserve_upstream(self.gateway, request)
--- a/tests/test_late_confirmations.py
+++ b/tests/test_late_confirmations.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from lentilgauge.contracts import grant_timing, ownership
+from lentilgauge.contracts import ownership
 from lentilgauge.links import peer_link
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granter_state as granter_state_module
@@ -15,16 +15,11 @@
     def setUp(self) -> None:
         """Make a granter."""
         self.clock = gateway_fixtures.Clock()
-        self.state = granter_state_module.GranterState(
-            gateway=gateway_fixtures.make_gateway(
+        self.state = gateway_fixtures.make_granter_state(
+            gateway_fixtures.make_gateway(
                 gateway_fixtures.ScriptedUpstreams(), self.clock
             ),
-            ownership=ownership.Ownership(term=3),
-            revision=1,
-            recorded_fence_limit=0,
-            reserved_fence_limit=0,
-            confirmed_ms=0,
-            earlier_orders=grant_timing.EarlierOrdersBounds(),
+            ownership.Ownership(term=3),
         )
 
     def hear_of(self, incarnation: str) -> None:
--- a/tests/test_orders_amid_restarts.py
+++ b/tests/test_orders_amid_restarts.py
@@ -4,11 +4,10 @@
 import dataclasses
 import unittest
 
-from lentilgauge.contracts import grant_timing, ownership
+from lentilgauge.contracts import ownership
 from lentilgauge.links import upstream_link
 from lentilgauge.services import key_ranges
 from lentilgauge.vms import (
-    granter_state,
     granter_upstreams,
     key_assignment,
     key_orders,
@@ -39,15 +38,10 @@
         gateway.upstreams = dataclasses.replace(
             gateway.upstreams, grant_keys=refuse_after_restart
         )
-        state = granter_state.GranterState(
-            gateway=gateway,
-            ownership=ownership.Ownership(),
-            revision=1,
-            recorded_fence_limit=10,
-            reserved_fence_limit=ownership.RESERVED_FENCES,
-            confirmed_ms=0,
-            earlier_orders=grant_timing.EarlierOrdersBounds(),
+        state = gateway_fixtures.make_granter_state(
+            gateway, ownership.Ownership()
         )
+        state.reserved_fence_limit = ownership.RESERVED_FENCES
         granter_upstreams.update_upstreams(state)
         ranges = key_ranges.split_key_space(2)
         state.ownership.table_by_service['s'] = key_ranges.make_table(ranges)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -3,9 +3,7 @@
 import asyncio
 import unittest
 
-from tornado import httputil
-
-from lentilgauge.callers import gateway_request, upstream_choice
+from lentilgauge.callers import upstream_choice
 from lentilgauge.services import catalog, routes
 from lentilgauge.upstreams import concurrency_limiter, upstream_load
 from lentilgauge.vms import admission_queues
@@ -96,17 +94,8 @@
         task = asyncio.ensure_future(
             upstream_choice.acquire_upstream(
                 gateway,
-                gateway_request.Request(
-                    id='r1',
-                    route=route,
-                    service='s',
-                    key=None,
-                    method='POST',
-                    target='/write/1',
-                    headers=httputil.HTTPHeaders(),
-                    body=b'',
-                    arrived_ms=clock.now_ms,
-                    deadline_ms=clock.now_ms + _DEADLINE_MS,
+                gateway_fixtures.make_request(
+                    route, clock.now_ms, remaining_ms=_DEADLINE_MS
                 ),
             ),
         )
--- a/tests/test_refusals_after_execution.py
+++ b/tests/test_refusals_after_execution.py
@@ -45,18 +45,8 @@
     assert configuration is not None
     route = routes.find_route(configuration, gateway_fixtures.HOST, '/read/1')
     assert route is not None
-    now_ms = gateway.now_ms()
-    return gateway_request.Request(
-        id='r1',
-        route=route,
-        service='s',
-        key=None,
-        method='GET',
-        target='/read/1',
-        headers=httputil.HTTPHeaders(),
-        body=b'',
-        arrived_ms=now_ms,
-        deadline_ms=now_ms + route.timeout_ms,
+    return gateway_fixtures.make_request(
+        route, gateway.now_ms(), remaining_ms=route.timeout_ms
     )
 
 
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -356,16 +356,11 @@
     def test_a_handover_counts_the_holds_of_previous_holders(self) -> None:
         """Guard against a successor that grants keys still held elsewhere."""
         clock = gateway_fixtures.Clock()
-        state = granter_state.GranterState(
-            gateway=gateway_fixtures.make_gateway(
+        state = gateway_fixtures.make_granter_state(
+            gateway_fixtures.make_gateway(
                 gateway_fixtures.ScriptedUpstreams(), clock
             ),
-            ownership=ownership.Ownership(),
-            revision=1,
-            recorded_fence_limit=0,
-            reserved_fence_limit=0,
-            confirmed_ms=0,
-            earlier_orders=grant_timing.EarlierOrdersBounds(),
+            ownership.Ownership(),
         )
         key_range = key_ranges.KeyRange(
             start=0,
--- a/tests/test_suspicion_sharing.py
+++ b/tests/test_suspicion_sharing.py
@@ -10,7 +10,7 @@
 from returns import result
 from tornado import httputil
 
-from lentilgauge.callers import forwarding, gateway_request
+from lentilgauge.callers import forwarding
 from lentilgauge.contracts import ownership
 from lentilgauge.links import http_client, peer_link, upstream_link
 from lentilgauge.upstreams import suspicions
@@ -127,20 +127,11 @@
     async def send_request(self, gateway: gateway_module.Gateway) -> None:
         """Send a request whose caller leaves if it has to wait."""
         configuration = gateway_fixtures.make_configuration()
-        now_ms = self.clock.now_ms
-        request = gateway_request.Request(
-            id='r',
-            route=configuration.route_by_host_and_prefix[
+        request = gateway_fixtures.make_request(
+            configuration.route_by_host_and_prefix[
                 gateway_fixtures.HOST, '/write/'
             ],
-            service='s',
-            key=None,
-            method='POST',
-            target='/write/1',
-            headers=httputil.HTTPHeaders(),
-            body=b'',
-            arrived_ms=now_ms,
-            deadline_ms=now_ms + 900,
+            self.clock.now_ms,
         )
         task = asyncio.ensure_future(forwarding.forward(gateway, request))
         for _ in range(_TURNS):
--- a/tests/test_unanswered_records.py
+++ b/tests/test_unanswered_records.py
@@ -42,14 +42,8 @@
             read_record=gateway.store.read_record,
             write_record=self.write_record,
         )
-        self.state = granter_state_module.GranterState(
-            gateway=gateway,
-            ownership=ownership.Ownership(term=_TERM, vms=_EARLY_VMS),
-            revision=1,
-            recorded_fence_limit=0,
-            reserved_fence_limit=0,
-            confirmed_ms=0,
-            earlier_orders=grant_timing.EarlierOrdersBounds(),
+        self.state = gateway_fixtures.make_granter_state(
+            gateway, ownership.Ownership(term=_TERM, vms=_EARLY_VMS)
         )
         record_writer.note_record_written(
             self.state,
