Believe a request to take over by the term that asks

In the model with two VMs, every key lost its holder for 8.2 s: the granter stood still for 3 s, the other VM took over, and left 0.3 s before the thaw.

Hypothesis: the thawed VM is asked to take over, but still believes that it grants, and refuses; or it isn't granter, takes the asking term, read from the store for the first time, for a newer granter's. Either way it has read of a newer term, hears nobody, and since leaves granting to the VM that has left, for 10 s.

A granter now believes a request of a later term than its own, and a VM that was asked takes over from the record of the term that has asked. A request of a term that was replaced since no longer counts: it made a VM replace a granter that ran, also before this change, and would do so more often after it.

test_pending_takeovers set a request of no term; it now names the term of the record that it serves, with the same checks.

Left, as before: if the request is lost, as it was with the VM leaving 1 s before the thaw, or the other VM crashes before it was heard, two VMs leave every key without a holder for 7.1 to 9.1 s in the model.

--- a/src/lentilgauge/vms/granter_following.py
+++ b/src/lentilgauge/vms/granter_following.py
@@ -306,7 +306,8 @@
 ) -> granter_state_module.GranterState | None:
     """Read the record and take over, unless it names a newer granter.
 
-    A VM that was `asked` to takes over even if it can't reach most VMs.
+    A VM that was `asked` to takes over even if it can't reach most VMs, but
+    only from the term that has asked or an earlier one.
     """
     if gateway.draining:
         return None
@@ -315,7 +316,10 @@
         gateway.metrics.count('store_failures', read_outcome.failure())
         return None
     document = read_outcome.unwrap().document
-    if document is not None and _apply_record(gateway, document):
+    known_term = gateway.state_cache.ownership.term
+    if asked:
+        known_term = gateway.predecessor_term
+    if document is not None and _apply_record(gateway, document, known_term):
         return None
     if not asked and await _leaves_granting(gateway):
         return None
@@ -350,12 +354,12 @@
 def _apply_record(
     gateway: gateway_module.Gateway,
     document: store_link.Document,
+    known_term: int,
 ) -> bool:
     """Apply a record; return whether it names another VM for a newer term."""
     record = ownership_module.parse_record(document.body)
     if record is None:
         return False
-    known_term = gateway.state_cache.ownership.term
     state_cache_module.replace_ownership(gateway.state_cache, record)
     if record.granter.vm == gateway.local_peer.vm:
         return False
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -62,8 +62,7 @@
             request.body,
             type=peer_link.TakeoverMessage,
         )
-        known_term = gateway.state_cache.ownership.term
-        if not gateway.is_granter and message.term >= known_term:
+        if _may_take_over(gateway, message.term):
             gateway.predecessor_term = message.term
             gateway.predecessor_hold_ms = message.hold_ms
             gateway.takeover_requested.set()
@@ -78,6 +77,17 @@
     }
 
 
+def _may_take_over(gateway: gateway_module.Gateway, asking_term: int) -> bool:
+    """Return whether this VM may take over from a term that asks it to.
+
+    A granter may, if it was superseded by that term and doesn't know it yet.
+    """
+    known_term = gateway.state_cache.ownership.term
+    if gateway.is_granter:
+        return asking_term > known_term
+    return asking_term >= known_term
+
+
 def make_metrics_routes(
     gateway: gateway_module.Gateway,
 ) -> dict[http_server.Route, http_server.Responder]:
--- a/tests/test_pending_takeovers.py
+++ b/tests/test_pending_takeovers.py
@@ -30,6 +30,7 @@
         self.answer: asyncio.Future[store_link.WriteResult] = (
             asyncio.get_running_loop().create_future()
         )
+        self.gateway.predecessor_term = 4
         self.gateway.takeover_requested.set()
         self.takeover = asyncio.ensure_future(
             granter_following.follow_or_take_over(self.gateway)
