Count followers of earlier versions when a granter succeeds another

In the model, with at least three of four or five VMs naming no reply, as earlier versions do in a rolling update, and a granter and an upstream that were lost for good: the upstream's keys had no holder for the 60 s looked at, as it wasn't found out that the earlier granter had stopped.

Hypothesis: a successor counts the VMs that follow it from the replies that they name, and earlier versions name none. For this count the time doesn't matter: whoever knows the term that asks no longer extends an earlier granter's right, however late the question arrives. Only how long a granter's own right lasts depends on the reply.

The successor now counts the VMs whose last question named its term. The right of a granter is still counted from named replies, so as before, VMs of an earlier version don't extend it in a store outage.

--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -95,6 +95,7 @@
     `pending_reports` are the VMs' reports that this granter hasn't applied yet.
     `replied_ms_by_vm` is when this VM last replied to each follower, and
     `receipt` names the last reply that this VM has received as a follower.
+    `known_term_by_vm` has the term that each VM's last question named.
     `suspicion_serial` counts the suspicions of restarts that are passed on, and
     `suspicion_serial_by_vm` has its value in the last reply to each follower.
     `takeover_pending` is whether this VM has sent the record of a term of its
@@ -169,6 +170,7 @@
     suspicion_serial_by_vm: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
+    known_term_by_vm: dict[str, int] = dataclasses.field(default_factory=dict)
     followed_term_by_vm: dict[str, FollowedTerm] = dataclasses.field(
         default_factory=dict,
     )
@@ -340,7 +342,9 @@
     the VM has given up since. But the VM sent it after it had received the
     reply that it names. So the VM followed the term at some time after that
     reply, whose time is recorded instead of the time of the request's arrival.
+    A VM of an earlier version names no reply.
     """
+    gateway.known_term_by_vm[message.peer.vm] = message.term
     receipt = message.receipt
     if receipt is None or (
         receipt.incarnation != gateway.local_peer.incarnation
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -214,12 +214,16 @@
     granter_state: granter_state_module.GranterState,
     earlier_vms: tuple[str, ...],
 ) -> set[str]:
-    """List the VMs of the earlier term that follow this term."""
+    """List the VMs of the earlier term that follow this term.
+
+    A VM that knows this term no longer follows an earlier one, however late its
+    request arrives.
+    """
     gateway = granter_state.gateway
     follower_vms = {
         vm
-        for vm, followed_term in gateway.followed_term_by_vm.items()
-        if followed_term.term == granter_state.ownership.term
+        for vm, known_term in gateway.known_term_by_vm.items()
+        if known_term == granter_state.ownership.term
     }
     follower_vms.add(gateway.local_peer.vm)
     return follower_vms.intersection(earlier_vms)
