--- a/tests/test_granting_model.py
+++ b/tests/test_granting_model.py
@@ -245,12 +245,20 @@
 ) -> granting_model.Model:
     """Inject faults drawn from a seed, then end all of them.
 
-    Every key must have a holder within 30 s of that. Upstreams that check no
-    ids exchange their addresses only if `exchanges_unchecked` is set.
+    Upstreams that check no ids exchange their addresses only if
+    `exchanges_unchecked` is set.
     """
-    loop = virtual_time.VirtualLoop()
-    model = granting_model.Model(loop, seed)
+    model = granting_model.Model(virtual_time.VirtualLoop(), seed)
     model.exchanges_addresses |= exchanges_unchecked
+    run_faults(model, fault_count)
+    return model
+
+
+def run_faults(model: granting_model.Model, fault_count: int) -> None:
+    """Inject random faults into a model, then end all of them.
+
+    Every key must have a holder within 30 s of that.
+    """
 
     async def start_and_run() -> None:
         await start_all_vms(model)
@@ -264,8 +272,7 @@
                 f'only {held_keys} keys are held at the end',
             )
 
-    virtual_time.run_and_close(loop, start_and_run())
-    return model
+    virtual_time.run_and_close(model.loop, start_and_run())
 
 
 async def isolate_granter(model: granting_model.Model) -> None:
