Reset the connections of calls to upstreams that are given up

Connections to upstreams now end with a reset (SO_LINGER of 0 s), whichever call made them, as grants reuse those of requests. A request that was given up isn't delivered late either.

--- a/src/lentilgauge/links/curl_transfers.py
+++ b/src/lentilgauge/links/curl_transfers.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import dataclasses
+import socket
+import struct
 from collections.abc import Callable
 
 import pycurl
@@ -18,6 +20,8 @@
 MAX_POOLED_CONNECTIONS = 1000
 #: Unused handles that are kept for reuse.
 MAX_IDLE_HANDLES = 200
+#: Socket option by which closing a connection resets it: on, for 0 s.
+_NO_LINGER = struct.pack('ii', 1, 0)
 
 HandleSetup = Callable[[pycurl.Curl], None]
 
@@ -60,6 +64,15 @@
         return text.encode('utf-8')
 
 
+def reset_on_close(descriptor: int, _purpose: int) -> int:
+    """Set up a new connection so that it is reset when it is closed."""
+    connection = socket.socket(fileno=descriptor)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    # curl goes on using the descriptor.
+    connection.detach()
+    return int(pycurl.SOCKOPT_OK)
+
+
 def make_driver() -> TransferDriver:
     """Create a driver for transfers on the running loop."""
     multi = pycurl.CurlMulti()
--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -80,7 +80,9 @@
     out to be dead. With `new_connection` no pooled connection is used.
     Otherwise a pooled connection is reused only within `max_idle_s` seconds of
     its last use, because the peer may close an idle one at any time. `target`
-    overrides the request target derived from the URL. `expected_reply_header`
+    overrides the request target derived from the URL. A connection that is made
+    with `reset_on_close` ends with a reset, so that a call that was given up
+    isn't delivered later, if a partition holds it up. `expected_reply_header`
     is the name and expected value of a reply header. A reply that has the
     header with another value belongs to a different call, so the call fails as
     `INVALID` and the connection is closed; a reply without the header is
@@ -96,6 +98,7 @@
     new_connection: bool = False
     max_idle_s: int = DEFAULT_MAX_IDLE_S
     target: str = ''
+    reset_on_close: bool = False
     expected_reply_header: tuple[str, str] | None = None
 
 
@@ -288,6 +291,8 @@
     curl.setopt(pycurl.FRESH_CONNECT, int(call.new_connection))
     curl.setopt(pycurl.MAXAGE_CONN, call.max_idle_s)
     curl.setopt(pycurl.TCP_NODELAY, 1)
+    if call.reset_on_close:
+        curl.setopt(pycurl.SOCKOPTFUNCTION, curl_transfers.reset_on_close)
 
 
 def _make_setup(
--- a/src/lentilgauge/platform/upstream_adapter.py
+++ b/src/lentilgauge/platform/upstream_adapter.py
@@ -90,6 +90,7 @@
             headers=request_headers,
             send_once=True,
             new_connection=attempt.new_connection,
+            reset_on_close=True,
             expected_reply_header=(headers.REQUEST_ID, attempt.request_id),
         ),
     )
@@ -202,6 +203,7 @@
             ),
             send_once=True,
             new_connection=path == _RELEASE_PATH,
+            reset_on_close=True,
             # The reply to an order has no request id, so a reply that has one
             # belongs to some caller's request.
             expected_reply_header=(headers.REQUEST_ID, ''),
