--- a/tests/test_late_drains.py
+++ b/tests/test_late_drains.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import unittest
+from typing import Any
+from unittest import mock
 
 import loguru
 
@@ -11,6 +13,7 @@
 from tests import (
     gateway_fixtures,
     granting_model,
+    granting_store,
     granting_upstreams,
     test_granting_model,
     test_succession,
@@ -55,24 +58,49 @@
 class LateDrainsTest(unittest.TestCase):
     """A successor moves no keys until its predecessor's orders have ended."""
 
-    def test_no_vm_sends_to_a_drained_upstream_after_the_bound(self) -> None:
-        """Guard against a bound that counts from when a VM hears of it."""
+    def setUp(self) -> None:
+        """Make a model without log lines."""
         loguru.logger.remove()
-        loop = virtual_time.VirtualLoop()
-        model = granting_model.Model(loop, 1)
+        self.model = granting_model.Model(virtual_time.VirtualLoop(), 1)
+
+    def check_drain(self, list_delay_s: float) -> None:
+        """Drain an upstream as the granter ends; check who sends after that.
+
+        The successor's listings of objects take longer by a delay in seconds.
+        """
+        model = self.model
         sent_after_bound: list[tuple[float, list[str]]] = []
+        list_topic = granting_store.ModelStore.list_topic
+        draining = asyncio.Event()
+
+        async def list_slowly(*arguments: Any) -> Any:
+            if draining.is_set():
+                await asyncio.sleep(list_delay_s)
+            return await list_topic(*arguments)
 
         async def drain_as_granter_ends() -> None:
             await test_granting_model.start_all_vms(model)
+            draining.set()
             model.kill_vm(test_granting_model.pick_granter(model))
             upstream = test_succession.drain_upstream(model, 'u1')
             await asyncio.sleep(gateway_fixtures.BOUNDS.drain_ms / 1000)
             while upstream.list_live_holds():
                 sending_vms = list_sending_vms(model, 'u1')
                 if sending_vms:
-                    sent_after_bound.append((loop.time(), sending_vms))
+                    sent_after_bound.append((model.loop.time(), sending_vms))
                 await asyncio.sleep(_STEP_S)
 
-        virtual_time.run_and_close(loop, drain_as_granter_ends())
+        with mock.patch.object(
+            granting_store.ModelStore, 'list_topic', list_slowly
+        ):
+            virtual_time.run_and_close(model.loop, drain_as_granter_ends())
         self.assertEqual(sent_after_bound, [])
         self.assertEqual(model.violations, [])
+
+    def test_no_vm_sends_to_a_drained_upstream_after_the_bound(self) -> None:
+        """Guard against a bound that counts from when a VM hears of it."""
+        self.check_drain(0)
+
+    def test_a_successor_that_reads_slowly_delays_no_bound(self) -> None:
+        """Guard against followers that take a granter's start for news."""
+        self.check_drain(0.3)
