Let an odd entry of the store cost that entry alone

Cause: an entry nested 1,000 deep, or with a lone surrogate, made its whole page and batch of changes unreadable, so that VMs stopped following the list; 10^400 slots were taken and ended each granter in turn; ports out of range, missing hosts and line breaks were taken as addresses. An entry of 1 MB went to all VMs. Change: a page or batch that can't be decoded as a whole is split by its brackets and each object decoded alone; bodies are bounded in depth and, but for configurations, in length; announcements are checked for id, address, port, slots and start time. An entry that turns odd names no upstream any more.

--- a/src/lentilgauge/platform/objects.py
+++ b/src/lentilgauge/platform/objects.py
@@ -1,5 +1,9 @@
 """Decoding of the operator's and the upstreams' objects in the store."""
 
+import ipaddress
+import re
+from typing import Annotated
+
 import msgspec
 
 from lentilgauge import events
@@ -9,6 +13,19 @@
 from lentilgauge.upstreams import upstream_state
 
 _SAFE_KIND = 'safe'
+_MAX_NAME_LENGTH = 200
+_MAX_CONCURRENCY = 1_000_000
+#: Year 10000, in Unix milliseconds.
+_MAX_INCARNATION = 253_402_300_800_000
+#: Ids are sent in headers.
+_ID = re.compile(rf'[!-~]{{1,{_MAX_NAME_LENGTH}}}')
+_ADDRESS = re.compile(
+    rf'([0-9A-Za-z._-]{{1,{_MAX_NAME_LENGTH}}}|\[[0-9A-Fa-f:.]{{2,45}}\])'
+    ':([0-9]{1,5})',
+)
+_MAX_PORT = 65_535
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)]
 
 
 class SplitMessage(msgspec.Struct, frozen=True, kw_only=True, rename='camel'):
@@ -77,9 +94,9 @@
 ):
     """Announcement by which an upstream registers itself."""
 
-    service: str
+    service: Name
     address: str
-    zone: str
+    zone: Name
     #: How many requests the upstream can run at once.
     slots: int
     state: upstream_state.State
@@ -177,6 +194,7 @@
         events.log_event(
             events.Event.OBJECT_UNREADABLE,
             upstream=document.name,
+            revision=document.revision,
             fault=str(error),
         )
         return None
@@ -187,14 +205,36 @@
     now_ms: int,
 ) -> upstream_state.Upstream:
     message = msgspec.convert(document.body, UpstreamMessage)
+    _check_upstream(document.name, message)
     cold_ms = durations.parse_remaining_ms(message.cold_left)
     return upstream_state.Upstream(
         id=document.name,
         service=message.service,
         address=message.address,
         failure_domain=message.zone,
-        concurrency=max(message.slots, 1),
+        concurrency=message.slots,
         state=message.state,
         incarnation=message.born,
         cold_until_ms=now_ms + cold_ms if cold_ms > 0 else 0,
     )
+
+
+def _check_upstream(upstream_id: str, message: UpstreamMessage) -> None:
+    """Raise `ValueError` if an announcement has a value that can't be used."""
+    if _ID.fullmatch(upstream_id) is None:
+        raise ValueError('the id has characters that a header may not have')
+    if not 1 <= message.slots <= _MAX_CONCURRENCY:
+        raise ValueError(f'expected 1 to {_MAX_CONCURRENCY} slots')
+    if not 0 <= message.born <= _MAX_INCARNATION:
+        raise ValueError('expected `born` in Unix milliseconds')
+    _check_address(message.address)
+
+
+def _check_address(address: str) -> None:
+    """Raise `ValueError` unless an address is a host and a port."""
+    matched = _ADDRESS.fullmatch(address)
+    if matched is None or not 1 <= int(matched[2]) <= _MAX_PORT:
+        raise ValueError(f'expected an address and a port, got {address!r:.80}')
+    host = matched[1]
+    if host.startswith('['):
+        ipaddress.IPv6Address(host.strip('[]'))
--- a/src/lentilgauge/platform/store_adapter.py
+++ b/src/lentilgauge/platform/store_adapter.py
@@ -3,14 +3,13 @@
 import dataclasses
 import http
 import types
-from typing import TypeVar
 from urllib import parse as url_parse
 
 import msgspec
 from returns import result
 
-from lentilgauge import events
 from lentilgauge.links import http_client, store_link
+from lentilgauge.platform import store_messages
 
 #: The store usually replies within milliseconds, but can be slow at times.
 CALL_TIMEOUT_MS = 1000
@@ -27,6 +26,9 @@
         store_link.Topic.EVACUATIONS: 'evacuations',
     },
 )
+#: Longest body of an upstream's entry or an evacuation. All such bodies go to
+#: every VM in one message; the known ones have some 200 bytes.
+_MAX_ENTRY_BYTES = 8192
 #: The call was not processed: the store is unavailable to this VM, or this VM
 #: calls it too often.
 _REFUSED_STATUSES = frozenset(
@@ -35,65 +37,6 @@
         http.HTTPStatus.TOO_MANY_REQUESTS,
     ),
 )
-#: Deep nesting of an object exceeds the recursion limit.
-_DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
-
-Message = TypeVar('Message')
-
-
-class MetadataMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Name of an object, and the revision of its last change."""
-
-    name: str = ''
-    revision: int = 0
-
-
-class ObjectMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Object whose `spec` is decoded separately."""
-
-    metadata: MetadataMessage
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class ListingMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Page of a listing; `at` is the store's revision at the read."""
-
-    documents: list[msgspec.Raw] = msgspec.field(name='items')
-    at: int
-    has_more: bool = msgspec.field(name='hasMore', default=False)
-
-
-class EventMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Write or removal of one object."""
-
-    object: msgspec.Raw
-    removed: bool = False
-
-
-class EventsMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Changes of a collection; `at` is the revision to watch from next."""
-
-    events: list[EventMessage]
-    at: int
-
-
-class WriteMetadata(
-    msgspec.Struct,
-    frozen=True,
-    kw_only=True,
-    omit_defaults=True,
-):
-    """Name of the object to write, and the revision that it must have."""
-
-    name: str
-    revision: int = 0
-
-
-class WriteMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Request to write an object."""
-
-    metadata: WriteMetadata
-    spec: object
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -176,14 +119,14 @@
         )
         if not isinstance(store_result, result.Success):
             return result.Failure(store_result.failure())
-        page = _decode_reply(store_result.unwrap(), ListingMessage)
+        page = store_messages.decode_listing(store_result.unwrap())
         if page is None:
             return result.Failure(store_link.Failure.UNKNOWN)
         # A watch from the revision of the first page also reports the changes
         # made while the later pages were read.
         listing_revision = listing_revision or page.at
         known_count = len(document_by_name)
-        after_name = _add_page(document_by_name, page)
+        after_name = _add_page(document_by_name, page, topic)
         if not page.has_more:
             break
         if len(document_by_name) == known_count:
@@ -198,7 +141,8 @@
 
 def _add_page(
     document_by_name: dict[str, store_link.Document],
-    page: ListingMessage,
+    page: store_messages.ListingMessage,
+    topic: store_link.Topic,
 ) -> str:
     """Add a page's objects; return the name to continue after, if any.
 
@@ -207,13 +151,22 @@
     """
     last_name = ''
     for encoded in page.documents:
-        document = _decode_document(encoded)
+        document = store_messages.decode_document(
+            encoded, _get_max_bytes(topic)
+        )
         if document is not None and document.name:
             document_by_name[document.name] = document
             last_name = document.name
     return last_name
 
 
+def _get_max_bytes(topic: store_link.Topic) -> int | None:
+    """Return the longest body of a topic's objects; `None` if any may be."""
+    if topic is store_link.Topic.CONFIGURATION:
+        return None
+    return _MAX_ENTRY_BYTES
+
+
 def _make_page_path(topic: store_link.Topic, after_name: str) -> str:
     kind = _KIND_BY_TOPIC[topic]
     if not after_name:
@@ -239,16 +192,22 @@
     reply = store_result.unwrap()
     if reply.status == http.HTTPStatus.GONE:
         return result.Failure(store_link.Failure.HISTORY_GONE)
-    message = _decode_reply(reply, EventsMessage)
+    message = store_messages.decode_events(reply)
     if message is None:
         return result.Failure(store_link.Failure.UNKNOWN)
+    max_bytes = _get_max_bytes(topic)
     return result.Success(
         store_link.Changes(
             revision=message.at,
             changes=tuple(
                 store_link.Change(document=document, removed=event.removed)
                 for event in message.events
-                if (document := _decode_document(event.object)) is not None
+                if (
+                    document := store_messages.decode_document(
+                        event.object, max_bytes
+                    )
+                )
+                is not None
                 and document.name
             ),
         ),
@@ -260,12 +219,12 @@
     store_result = await _call(endpoint, 'GET', _RECORD_KIND)
     if not isinstance(store_result, result.Success):
         return result.Failure(store_result.failure())
-    page = _decode_reply(store_result.unwrap(), ListingMessage)
+    page = store_messages.decode_listing(store_result.unwrap())
     if page is None:
         return result.Failure(store_link.Failure.UNKNOWN)
     document = None
     if page.documents:
-        document = _decode_document(page.documents[0])
+        document = store_messages.decode_document(page.documents[0])
         if document is None:
             return result.Failure(store_link.Failure.UNKNOWN)
     return result.Success(
@@ -278,8 +237,10 @@
     body: object,
     revision: int,
 ) -> store_link.WriteResult:
-    message = WriteMessage(
-        metadata=WriteMetadata(name=_RECORD_NAME, revision=revision),
+    message = store_messages.WriteMessage(
+        metadata=store_messages.WriteMetadata(
+            name=_RECORD_NAME, revision=revision
+        ),
         spec=body,
     )
     method, path = 'POST', _RECORD_KIND
@@ -295,42 +256,7 @@
         return result.Failure(store_link.Failure.CONFLICT)
     if reply.status not in {http.HTTPStatus.OK, http.HTTPStatus.CREATED}:
         return result.Failure(store_link.Failure.UNKNOWN)
-    document = _decode_document(reply.body)
+    document = store_messages.decode_document(reply.body)
     if document is None:
         return result.Failure(store_link.Failure.UNKNOWN)
     return result.Success(document)
-
-
-def _decode_reply(
-    reply: http_client.Reply,
-    model: type[Message],
-) -> Message | None:
-    if reply.status != http.HTTPStatus.OK:
-        return None
-    try:
-        return msgspec.json.decode(reply.body, type=model)
-    except _DECODING_ERRORS:
-        return None
-
-
-def _decode_document(
-    encoded: bytes | msgspec.Raw,
-) -> store_link.Document | None:
-    """Decode an object; return `None` if its metadata can't be decoded.
-
-    Its body is `None` if only that can't be decoded.
-    """
-    try:
-        message = msgspec.json.decode(encoded, type=ObjectMessage)
-    except _DECODING_ERRORS as error:
-        events.log_event(events.Event.OBJECT_UNREADABLE, fault=str(error))
-        return None
-    try:
-        body = msgspec.json.decode(message.spec)
-    except _DECODING_ERRORS:
-        body = None
-    return store_link.Document(
-        name=message.metadata.name,
-        revision=message.metadata.revision,
-        body=body,
-    )
