Keep the soak's ports, watch its start and keep its logs

The gateways' ports were chosen and not kept, so another process could bind one first; a gateway that ends was only noticed once all had served; and the report named each gateway after the first that didn't serve, whether it served or not. Change: ports are reserved until the testbed is closed, ends are watched from the start, every route is asked in each round, and a failed run's logs stay. That a taken port was the cause is suspected, not shown.

--- a/src/lentilgauge/load/gateway_testbed.py
+++ b/src/lentilgauge/load/gateway_testbed.py
@@ -5,14 +5,15 @@
 import json
 import os
 import pathlib
+import socket
 import sys
 import time
 
+from lentilgauge.load import ports as port_module
 from lentilgauge.standins import (
     gateway_documents,
     gateway_store,
     gateway_upstream,
-    standin_server,
 )
 
 LOOPBACK = '127.0.0.1'
@@ -28,12 +29,14 @@
     `start_count` counts the processes started for it so far; `started_at` is
     when the last of them started, in seconds on the monotonic clock. `module`
     is the Python module that runs, with `arguments` before the path of its INI
-    file.
+    file. The sockets in `reservation_by_name` keep others off its ports until
+    the testbed is closed.
     """
 
     vm: str
     failure_domain: str
     ports: gateway_documents.Ports
+    reservation_by_name: dict[str, socket.socket]
     store_address: str
     module: str = _GATEWAY_MODULE
     arguments: tuple[str, ...] = ()
@@ -78,19 +81,17 @@
     failure_domain: str,
     store_address: str,
 ) -> GatewayProcess:
-    """Choose free ports for a gateway, without starting its process."""
-    front, ready, control, metrics = (
-        standin_server.find_free_port() for _ in range(4)
+    """Reserve ports for a gateway, without starting its process."""
+    reservation_by_name = port_module.reserve_ports(
+        ('front', 'ready', 'control', 'metrics')
     )
     return GatewayProcess(
         vm=f'vm-{number}',
         failure_domain=failure_domain,
         ports=gateway_documents.Ports(
-            front=front,
-            ready=ready,
-            control=control,
-            metrics=metrics,
+            **port_module.map_ports(reservation_by_name)
         ),
+        reservation_by_name=reservation_by_name,
         store_address=store_address,
     )
 
@@ -157,9 +158,10 @@
 
 
 async def close_testbed(testbed: Testbed) -> None:
-    """Kill all gateways and shut down all stand-ins."""
+    """Kill all gateways, free their ports and shut down all stand-ins."""
     for gateway in testbed.gateways:
         await kill_gateway(gateway)
+        port_module.free_ports(gateway.reservation_by_name)
     for upstream in testbed.upstream_by_id.values():
         await upstream.close()
     await testbed.store.close()
--- a/src/lentilgauge/load/soak.py
+++ b/src/lentilgauge/load/soak.py
@@ -5,6 +5,7 @@
 import dataclasses
 import pathlib
 import random
+import shutil
 import sys
 import tempfile
 import time
@@ -178,6 +179,25 @@
     )
 
 
+async def _is_served(
+    caller: soak_callers.Caller,
+    gateway: gateway_testbed.GatewayProcess,
+    route: str,
+) -> bool:
+    """Return whether a gateway serves one request on a route."""
+    caller.gateways = [gateway]
+    reply = await soak_callers.send_attempt(
+        caller,
+        soak_callers.CallerRequest(
+            route=route,
+            target=f'/{route}/x',
+            key=1,
+            timeout_ms=soak_callers.DEADLINE_MS,
+        ),
+    )
+    return reply is not None and reply.status == _STATUS_OK
+
+
 async def _wait_until_served(
     soak_state: soak_faults.SoakState,
     caller: soak_callers.Caller,
@@ -195,20 +215,12 @@
         for route_spec in gateway_documents.DEFAULT_ROUTES
     ]
     while pending_probes and time.monotonic() < deadline_seconds:
-        gateway, route = pending_probes[0]
-        caller.gateways = [gateway]
-        reply = await soak_callers.send_attempt(
-            caller,
-            soak_callers.CallerRequest(
-                route=route,
-                target=f'/{route}/x',
-                key=1,
-                timeout_ms=soak_callers.DEADLINE_MS,
-            ),
-        )
-        if reply is not None and reply.status == _STATUS_OK:
-            pending_probes.pop(0)
-        else:
+        pending_probes = [
+            (gateway, route)
+            for gateway, route in pending_probes
+            if not await _is_served(caller, gateway, route)
+        ]
+        if pending_probes:
             await asyncio.sleep(_POLL_SECONDS)
     unserved = [f'{gateway.vm}/{route}' for gateway, route in pending_probes]
     soak_checker.log_event(
@@ -244,6 +256,7 @@
 
 async def _run_faults(plan: Plan, soak_state: soak_faults.SoakState) -> None:
     readiness_caller = _make_caller(soak_state, 'watcher')
+    monitor = asyncio.ensure_future(_monitor_gateways(soak_state))
     unserved = await _wait_until_served(
         soak_state, readiness_caller, _START_TIMEOUT_SECONDS
     )
@@ -252,6 +265,7 @@
             soak_state.checker,
             f'not serving every route in time after start-up: {unserved}',
         )
+        monitor.cancel()
         return
     callers = [
         _make_caller(soak_state, f'c{number}')
@@ -267,7 +281,7 @@
             soak_callers.keep_probing_versions(prober, _PROBE_INTERVAL_SECONDS),
         ),
     )
-    tasks.append(asyncio.ensure_future(_monitor_gateways(soak_state)))
+    tasks.append(monitor)
     await asyncio.gather(
         soak_faults.inject_faults(soak_state, plan.fault_seconds),
         soak_restarts.restart_holders(
@@ -321,6 +335,13 @@
     )
 
 
+def keep_logs(folder: pathlib.Path, seed: int) -> pathlib.Path:
+    """Copy a failed run's logs to a folder that stays, and return that."""
+    kept_folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    shutil.copytree(folder, kept_folder, dirs_exist_ok=True)
+    return kept_folder
+
+
 def _render_outcome(plan: Plan, outcome: SoakOutcome) -> str:
     event_counts = ', '.join(
         f'{name} {count}'
@@ -362,6 +383,8 @@
                 folder=folder,
             )
             outcome = asyncio.run(run_plan(plan))
+            if outcome.checker.violations and not logs:
+                sys.stdout.write(f'logs: {keep_logs(folder, run_seed)}\n')
         failed_runs += bool(outcome.checker.violations)
         sys.stdout.write(_render_outcome(plan, outcome))
         sys.stdout.flush()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,7 +27,10 @@
                     folder=pathlib.Path(folder),
                 ),
             )
-        self.assertEqual(outcome.checker.violations, [])
+            kept_logs = None
+            if outcome.checker.violations:
+                kept_logs = soak.keep_logs(pathlib.Path(folder), seed=5)
+        self.assertEqual(outcome.checker.violations, [], f'logs: {kept_logs}')
         self.assertGreater(outcome.checker.event_counts['200'], 0)
 
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -1,6 +1,7 @@
 """Test the ports and the order in which the processes of a system start."""
 
 import asyncio
+import dataclasses
 import pathlib
 import socket
 import tempfile
@@ -9,7 +10,7 @@
 
 from tornado import netutil
 
-from lentilgauge.load import cluster
+from lentilgauge.load import cluster, gateway_testbed, ports
 from tests import test_faults
 
 #: Program that fails if another starts at the same time.
@@ -57,6 +58,13 @@
             finally:
                 await cluster.kill_all(started)
 
+    def test_ports_of_a_gateway_are_kept_from_others(self) -> None:
+        """Guard against a gateway that can't start as its port is taken."""
+        gateway = gateway_testbed.make_gateway_process(0, 'd', 'store:1')
+        for port in dataclasses.astuple(gateway.ports):
+            self.assertFalse(can_bind(port))
+        ports.free_ports(gateway.reservation_by_name)
+
     async def test_ports_are_kept_from_others_until_the_end(self) -> None:
         """Guard against a port that is taken before its process binds it."""
         with tempfile.TemporaryDirectory() as folder_name:
