Take requests in a planned stop only if they end within it

Cause: a stopping gateway took every request until 2,400 ms before the end of the grace period and cut what was unfinished 400 ms before it. With routes of up to 4,000 ms one that was taken late was passed on and then ended by an answer of the gateway's own while its upstream worked. Change: the time by which answers must be out is stored when the stop begins; a request whose deadline, its route's or its own, lies after it is refused at once as not run. Others are served until that time, also late ones.

--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -185,8 +185,23 @@
         task.cancel()
 
 
+def _may_outlast_stop(
+    gateway: gateway_module.Gateway, request: gateway_request.Request
+) -> bool:
+    """Return whether a request could be cut by the end of the process."""
+    if gateway.closing:
+        return True
+    return gateway.draining and request.deadline_ms > gateway.stop_deadline_ms
+
+
 async def _serve_request(exchange: Exchange) -> None:
-    if exchange.gateway.closing:
+    parsed = _parse_request(exchange)
+    if not isinstance(parsed, result.Success):
+        _answer_failure(exchange, parsed.failure(), _UNREADY_RETRY_MS)
+        return
+    request: gateway_request.Request = parsed.unwrap()
+    exchange.request = request
+    if _may_outlast_stop(exchange.gateway, request):
         _answer_failure(
             exchange,
             errors.Failure(
@@ -195,12 +210,6 @@
             ),
         )
         return
-    parsed = _parse_request(exchange)
-    if not isinstance(parsed, result.Success):
-        _answer_failure(exchange, parsed.failure(), _UNREADY_RETRY_MS)
-        return
-    request: gateway_request.Request = parsed.unwrap()
-    exchange.request = request
     forward_result = await forwarding.forward(exchange.gateway, request)
     if isinstance(forward_result, result.Success):
         _answer_executed(exchange, forward_result.unwrap())
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -110,7 +110,8 @@
     gateway sets this to the start time.
 
     While `draining`, the process is reported as not ready but still serves
-    requests that arrive; once `closing`, it only finishes those in flight.
+    requests that arrive, unless they could end after `stop_deadline_ms`; once
+    `closing`, it accepts none.
     """
 
     local_peer: peer_link.Peer
@@ -180,6 +181,7 @@
     predecessor_term: int = 0
     predecessor_hold_ms: int = 0
     draining: bool = False
+    stop_deadline_ms: int = 0
     closing: bool = False
     in_flight: int = 0
     exchange_tasks: set[asyncio.Task[None]] = dataclasses.field(
--- a/src/lentilgauge/vms/gateway_process.py
+++ b/src/lentilgauge/vms/gateway_process.py
@@ -18,11 +18,8 @@
 #: Callers may still arrive for this long after readiness is withdrawn: the
 #: balancer probes once a second and needs two failed probes to notice.
 STOP_NOTICE_MS = 2600
-#: In this last part of the grace period the process accepts no requests. The
-#: part is longer than most callers' deadlines.
-_CLOSE_BEFORE_END_MS = 2400
-#: Requests that are unfinished this long before the end of the grace period
-#: are answered at once.
+#: Requests that could end later than this long before the end of the grace
+#: period are refused; those that are unfinished by then are answered at once.
 _CUT_OFF_BEFORE_END_MS = 400
 _IDLE_POLL_MS = 50
 
@@ -105,25 +102,31 @@
         if task.done():
             # A task ends only by failing: this raises its exception.
             task.result()
-    await _stop_gracefully(gateway, caller_server)
+    await stop_gracefully(gateway, caller_server)
     for task in tasks:
         task.cancel()
 
 
-async def _stop_gracefully(
+async def stop_gracefully(
     gateway: gateway_module.Gateway,
     caller_server: httpserver.HTTPServer,
 ) -> None:
+    """Serve until callers have gone elsewhere or the grace period is over.
+
+    Callers keep sending on open connections. A request is accepted for as long
+    as it can be answered by `stop_deadline_ms` in any case.
+    """
+    started_ms = gateway.now_ms()
+    end_ms = started_ms + gateway.bounds.stop_grace_ms
     gateway.draining = True
+    gateway.stop_deadline_ms = end_ms - _CUT_OFF_BEFORE_END_MS
     state_cache_module.notify_change(gateway.state_cache)
     events.log_event(events.Event.STOPPING, in_flight=gateway.in_flight)
-    started_ms = gateway.now_ms()
-    end_ms = started_ms + gateway.bounds.stop_grace_ms
-    close_ms = max(started_ms + STOP_NOTICE_MS, end_ms - _CLOSE_BEFORE_END_MS)
-    await _wait_until_idle(gateway, close_ms, started_ms + STOP_NOTICE_MS)
+    await _wait_until_idle(
+        gateway, gateway.stop_deadline_ms, started_ms + STOP_NOTICE_MS
+    )
     gateway.closing = True
     caller_server.stop()
-    await _wait_until_idle(gateway, end_ms - _CUT_OFF_BEFORE_END_MS, 0)
     gateway_server.abort_exchanges(gateway)
     await asyncio.sleep(clock.to_seconds(_IDLE_POLL_MS))
     await caller_server.close_all_connections()
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -32,8 +32,8 @@
 )
 
 
-class GatewayServerTest(unittest.IsolatedAsyncioTestCase):
-    """Callers send requests to a gateway over sockets."""
+class GatewayTestCase(unittest.IsolatedAsyncioTestCase):
+    """A gateway that serves callers on a port of the loopback interface."""
 
     async def asyncSetUp(self) -> None:
         """Start a gateway on a free port."""
@@ -86,6 +86,10 @@
         )
         return reply.unwrap()
 
+
+class GatewayServerTest(GatewayTestCase):
+    """Callers send requests to a gateway over sockets."""
+
     async def test_idle_time_of_a_connection_does_not_count(self) -> None:
         """Guard against deadlines that count from a connection's last request.
 
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,107 @@
+"""Test what callers get from a gateway that is told to stop."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Awaitable, Callable
+
+from lentilgauge.links import http_client, upstream_link
+from lentilgauge.vms import gateway_process
+from tests import test_gateway_server
+
+_GRACE_MS = 1500
+_PAUSE_S = 0.05
+_EXECUTION_S = 0.3
+_DEADLINES = ('350', '600', '900')
+
+
+class PlannedStopTest(test_gateway_server.GatewayTestCase):
+    """A request is taken only if it can be answered before the end."""
+
+    async def test_only_what_fits_in_the_grace_is_taken(self) -> None:
+        """Guard against requests that the end of the grace period cuts."""
+        self.gateway.draining = True
+        self.gateway.stop_deadline_ms = self.clock.now_ms + 500
+        taken = await self.send('/write/1', 'POST', X_Deadline='500')
+        self.assertEqual(
+            (taken.status, taken.headers['Connection']), (200, 'close')
+        )
+        refused = await self.send('/write/2', 'POST', X_Deadline='501')
+        self.assertEqual(refused.status, 503)
+        self.assertEqual(refused.headers['Connection'], 'close')
+        self.assertIn('Retry-After', refused.headers)
+        self.assertEqual(len(self.scripted_upstreams.attempts), 1)
+
+    async def test_a_route_without_a_deadline_counts_its_timeout(self) -> None:
+        self.gateway.draining = True
+        self.gateway.stop_deadline_ms = self.clock.now_ms + 500
+        self.assertEqual((await self.send('/read/1')).status, 503)
+
+    async def test_a_wait_during_the_body_counts(self) -> None:
+        """Guard against a request that was read too late to be answered."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(
+            b'POST /write/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: r1\r\n'
+            b'X-Deadline: 800\r\nContent-Length: 2\r\n\r\na'
+        )
+        await asyncio.sleep(_PAUSE_S)
+        self.gateway.draining = True
+        self.gateway.stop_deadline_ms = self.clock.now_ms + 700
+        writer.write(b'b')
+        status_line = await reader.readline()
+        self.assertIn(b'503', status_line)
+        self.assertEqual(self.scripted_upstreams.attempts, [])
+        writer.close()
+        await writer.wait_closed()
+
+    async def test_no_request_is_cut_at_the_end_of_the_grace(self) -> None:
+        """Guard against answers of our own while an upstream works."""
+        self.gateway.now_ms = lambda: time.monotonic_ns() // 1_000_000
+        self.gateway.state_cache.now_ms = self.gateway.now_ms
+        self.gateway.bounds = dataclasses.replace(
+            self.gateway.bounds, stop_grace_ms=_GRACE_MS
+        )
+        self.gateway.upstreams = upstream_link.UpstreamLink(
+            send_attempt=self.delay(self.scripted_upstreams.answer),
+            grant_keys=self.gateway.upstreams.grant_keys,
+            release_keys=self.gateway.upstreams.release_keys,
+        )
+        stopping = asyncio.ensure_future(
+            gateway_process.stop_gracefully(self.gateway, self.server)
+        )
+        replies: list[asyncio.Task[http_client.Reply]] = []
+        while not self.gateway.closing:
+            replies.extend(
+                asyncio.ensure_future(
+                    self.send('/write/1', 'POST', X_Deadline=deadline)
+                )
+                for deadline in _DEADLINES
+            )
+            await asyncio.sleep(_PAUSE_S)
+        answers = await asyncio.gather(*replies, return_exceptions=True)
+        await stopping
+        statuses = [
+            answer.status
+            for answer in answers
+            if isinstance(answer, http_client.Reply)
+        ]
+        attempt_count = len(self.scripted_upstreams.attempts)
+        self.assertGreater(attempt_count, 0)
+        self.assertEqual(statuses.count(200), attempt_count)
+        self.assertLessEqual(set(statuses), {200, 429, 503})
+
+    def delay(
+        self,
+        answer: Callable[
+            [upstream_link.Attempt], Awaitable[upstream_link.Outcome]
+        ],
+    ) -> Callable[[upstream_link.Attempt], Awaitable[upstream_link.Outcome]]:
+        """Make upstreams that take some time for each attempt."""
+
+        async def answer_later(
+            attempt: upstream_link.Attempt,
+        ) -> upstream_link.Outcome:
+            await asyncio.sleep(_EXECUTION_S)
+            return await answer(attempt)
+
+        return answer_later
