Keep departures of upstreams beside their state

Change: the departure is applied in upstreams/upstream_state; notices are recorded after the outcome.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -147,6 +147,7 @@
     _record_outcome(
         gateway, request, upstream, outcome, gateway.now_ms() - sent_ms
     )
+    _record_notices(gateway, upstream, outcome)
     return outcome
 
 
@@ -190,7 +191,6 @@
             **gateway_request.make_log_fields(request, now_ms),
         )
     _record_reachability(gateway, upstream, outcome)
-    _record_notices(gateway, upstream, outcome)
     match outcome.proof:
         case upstream_link.Proof.EXECUTED:
             upstream_load.record_execution_time(load, duration_ms)
--- a/src/lentilgauge/upstreams/upstream_state.py
+++ b/src/lentilgauge/upstreams/upstream_state.py
@@ -47,3 +47,12 @@
     if upstream.state is not State.READY:
         return False
     return upstream.failure_domain not in evacuated_domains
+
+
+def apply_departure(
+    upstream: Upstream, leaving_incarnation: int | None
+) -> Upstream:
+    """Return an upstream as draining if its process said that it is leaving."""
+    if upstream.incarnation != leaving_incarnation:
+        return upstream
+    return dataclasses.replace(upstream, state=State.DRAINING)
--- a/src/lentilgauge/vms/state_cache.py
+++ b/src/lentilgauge/vms/state_cache.py
@@ -302,7 +302,9 @@
     for name, document in cached_topic.document_by_name.items():
         decoded = _read_upstream(state_cache, document)
         if decoded is not None:
-            upstream_by_id[name] = _apply_leaving(state_cache, decoded)
+            upstream_by_id[name] = upstream_state.apply_departure(
+                decoded, state_cache.leaving_incarnation_by_id.get(name)
+            )
     state_cache.upstream_by_id = upstream_by_id
     _update_draining_times(state_cache)
     for removed_id in (
@@ -337,23 +339,11 @@
     )
     state_cache.upstream_by_id = {
         **state_cache.upstream_by_id,
-        known.id: _apply_leaving(state_cache, known),
+        known.id: upstream_state.apply_departure(known, known.incarnation),
     }
     notify_change(state_cache)
 
 
-def _apply_leaving(
-    state_cache: StateCache, upstream: upstream_state.Upstream
-) -> upstream_state.Upstream:
-    leaving_incarnation = state_cache.leaving_incarnation_by_id.get(upstream.id)
-    if leaving_incarnation is None:
-        return upstream
-    if leaving_incarnation != upstream.incarnation:
-        state_cache.leaving_incarnation_by_id.pop(upstream.id)
-        return upstream
-    return dataclasses.replace(upstream, state=upstream_state.State.DRAINING)
-
-
 def _bound_change_ms(state_cache: StateCache) -> int:
     """Return a lower bound on when a change that was just heard of was made.
 
@@ -404,7 +394,10 @@
     decoded = state_cache.decoders.read_upstream(document, state_cache.now_ms())
     if decoded is None:
         return None
-    if previous is None or _is_state_changed(previous, decoded):
+    if previous is None or (
+        (previous.state, previous.incarnation)
+        != (decoded.state, decoded.incarnation)
+    ):
         events.log_event(
             events.Event.UPSTREAM_CHANGED,
             upstream=decoded.id,
@@ -414,13 +407,3 @@
             domain=decoded.failure_domain,
         )
     return decoded
-
-
-def _is_state_changed(
-    previous: upstream_state.Upstream,
-    current: upstream_state.Upstream,
-) -> bool:
-    return (previous.state, previous.incarnation) != (
-        current.state,
-        current.incarnation,
-    )
