Wait for room before a reset holder is asked again

Cause: a keyed upstream that is full resets connections. A request that may be repeated was sent to it again within the same moment, and reset again, as a key has one holder; the VM's other requests for its keys followed. Change: after an attempt without an answer the upstream gets nothing from this VM for its mean latency over its concurrency, 200 ms at most: about the time in which it frees a place. Requests wait meanwhile, by rank and deadline. Failures became refusals, and those came back to be refused again.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -249,7 +249,7 @@
     """Record whether an upstream was reachable.
 
     An unreachable upstream may have crashed; if it restarts, it is in cold
-    start.
+    start. One that gives no answer is likely to be full.
     """
     load = upstream_load.get_load(gateway.upstream_loads, upstream.id)
     suspect_ms = gateway_module.get_unannounced_cold_ms(
@@ -262,6 +262,8 @@
         )
         gateway.upstream_loads.suspect_ids.add(upstream.id)
         upstream_load.forget_warm(load)
+    elif outcome.proof is upstream_link.Proof.UNKNOWN:
+        upstream_load.suspend_after_reset(upstream, load, now_ms)
     elif outcome.status:
         suspicions.record_response(load.reachability, now_ms, suspect_ms)
 
--- a/src/lentilgauge/upstreams/upstream_load.py
+++ b/src/lentilgauge/upstreams/upstream_load.py
@@ -24,6 +24,8 @@
 UNREACHABLE_SUSPEND_MS = 300
 #: How long an upstream that refused because it was full gets no requests.
 FULL_SUSPEND_MS = 40
+#: Longest time for which an upstream that reset a connection gets no requests.
+_MAX_RESET_SUSPEND_MS = 200
 #: Added to the estimate for an upstream in another failure domain, as traffic
 #: between domains is expensive.
 _CROSS_DOMAIN_COST_MS = 60
@@ -134,6 +136,21 @@
     return estimate_queue(load, now_ms) < limit
 
 
+def suspend_after_reset(
+    upstream: upstream_state.Upstream, load: UpstreamLoad, now_ms: int
+) -> None:
+    """Send nothing until an upstream that is full has freed a place.
+
+    A full upstream resets connections. It frees a place about once in its mean
+    latency divided by its concurrency. A request sent sooner is reset as well.
+    """
+    freeing_ms = load.mean_latency_ms / upstream.concurrency
+    load.suspended_until_ms = max(
+        load.suspended_until_ms,
+        now_ms + round(min(freeing_ms, _MAX_RESET_SUSPEND_MS)),
+    )
+
+
 def back_off(
     upstream: upstream_state.Upstream,
     load: UpstreamLoad,
