--- a/src/lentilgauge/upstreams/upstream_state.py
+++ b/src/lentilgauge/upstreams/upstream_state.py
@@ -4,6 +4,10 @@
 import enum
 from collections.abc import Mapping
 
+#: An entry that expires and is written again meanwhile doesn't start its
+#: upstream's draining time anew.
+_DRAINING_MEMORY_MS = 60_000
+
 
 class State(enum.StrEnum):
     """Whether an upstream takes new work."""
@@ -56,3 +60,27 @@
     if upstream.incarnation != leaving_incarnation:
         return upstream
     return dataclasses.replace(upstream, state=State.DRAINING)
+
+
+def update_draining_times(
+    since_ms_by_id: Mapping[str, int],
+    upstream_by_id: UpstreamById,
+    *,
+    now_ms: int,
+    changed_ms: int,
+) -> dict[str, int]:
+    """Update since when each upstream that isn't ready has been draining.
+
+    An upstream that has just stopped being ready did so at `changed_ms` or
+    later. Times of upstreams that are gone are kept for a while.
+    """
+    updated = {
+        upstream_id: since_ms
+        for upstream_id, since_ms in since_ms_by_id.items()
+        if upstream_id not in upstream_by_id
+        and now_ms < since_ms + _DRAINING_MEMORY_MS
+    }
+    for upstream in upstream_by_id.values():
+        if upstream.state is not State.READY:
+            updated[upstream.id] = since_ms_by_id.get(upstream.id, changed_ms)
+    return updated
--- a/src/lentilgauge/vms/state_cache.py
+++ b/src/lentilgauge/vms/state_cache.py
@@ -19,9 +19,6 @@
 #: Upstreams whose entries expired while the store was unreachable write them
 #: again within two seconds of the store's return.
 REREGISTRATION_GRACE_MS = 2200
-#: An entry that expires and is written again meanwhile doesn't start its
-#: upstream's draining time anew.
-_DRAINING_MEMORY_MS = 60_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -354,28 +351,16 @@
 
 
 def _update_draining_times(state_cache: StateCache) -> None:
-    now_ms = state_cache.now_ms()
-    changed_ms = _bound_change_ms(state_cache)
-    for upstream in state_cache.upstream_by_id.values():
-        if upstream.state is upstream_state.State.READY:
-            state_cache.draining_since_ms_by_id.pop(upstream.id, None)
-        else:
-            state_cache.draining_since_ms_by_id.setdefault(
-                upstream.id, changed_ms
-            )
-    state_cache.draining_since_ms_by_id = {
-        upstream_id: since_ms
-        for upstream_id, since_ms in state_cache.draining_since_ms_by_id.items()
-        if upstream_id in state_cache.upstream_by_id
-        or now_ms < since_ms + _DRAINING_MEMORY_MS
-    }
-    state_cache.leaving_incarnation_by_id = {
-        upstream_id: incarnation
-        for upstream_id, incarnation in (
-            state_cache.leaving_incarnation_by_id.items()
-        )
-        if upstream_id in state_cache.draining_since_ms_by_id
-    }
+    state_cache.draining_since_ms_by_id = upstream_state.update_draining_times(
+        state_cache.draining_since_ms_by_id,
+        state_cache.upstream_by_id,
+        now_ms=state_cache.now_ms(),
+        changed_ms=_bound_change_ms(state_cache),
+    )
+    leaving_incarnation_by_id = state_cache.leaving_incarnation_by_id
+    for upstream_id in tuple(leaving_incarnation_by_id):
+        if upstream_id not in state_cache.draining_since_ms_by_id:
+            leaving_incarnation_by_id.pop(upstream_id)
 
 
 def _read_upstream(
