Let the soak's upstreams give notice by their answers alone

Cause: neither the soak's stand-ins nor its checker knew upstreams that say in their answers that they are leaving, or ask for a pause. What a gateway sends later than the drain bound after it passed such an answer on, and the third request within a pause, are reported; a gateway that was disturbed since is excused. Two weakened builds go by the store alone, or send on in a pause.

--- a/src/lentilgauge/load/soak.py
+++ b/src/lentilgauge/load/soak.py
@@ -16,6 +16,8 @@
     soak_callers,
     soak_checker,
     soak_faults,
+    soak_notice_checks,
+    soak_notice_faults,
     soak_restarts,
     soak_stalls,
 )
@@ -137,6 +139,12 @@
             name,
             hold,
         ),
+        request_arrived=lambda name, request_id: (
+            soak_notice_checks.check_arrival(checker, name, request_id)
+        ),
+        pause_requested=lambda name, request_id: (
+            soak_notice_checks.record_refusal(checker, name, request_id)
+        ),
     )
     proxy, address = await _start_proxy(upstream.port)
     upstream.announced_address = address
@@ -289,6 +297,11 @@
             _make_random(f'{plan.seed}/restarts'),
             plan.fault_seconds,
         ),
+        soak_notice_faults.give_notices(
+            soak_state,
+            _make_random(f'{plan.seed}/notices'),
+            plan.fault_seconds,
+        ),
     )
     recovery_seconds = (
         _RECOVERY_BOUND_SECONDS
--- a/src/lentilgauge/load/soak_callers.py
+++ b/src/lentilgauge/load/soak_callers.py
@@ -14,7 +14,12 @@
 
 from lentilgauge import clock
 from lentilgauge.links import http_client
-from lentilgauge.load import gateway_testbed, soak_checker, soak_versions
+from lentilgauge.load import (
+    gateway_testbed,
+    soak_checker,
+    soak_notice_checks,
+    soak_versions,
+)
 from lentilgauge.platform import headers
 from lentilgauge.services import key_ranges
 from lentilgauge.standins import gateway_documents
@@ -148,6 +153,7 @@
         caller.checker.event_counts[call_result.failure()] += 1
         return None
     reply: http_client.Reply = call_result.unwrap()
+    soak_notice_checks.record_answer(caller.checker, request_id, reply.headers)
     soak_checker.check_answer(
         caller.checker,
         request_id,
--- a/src/lentilgauge/load/soak_checker.py
+++ b/src/lentilgauge/load/soak_checker.py
@@ -13,7 +13,12 @@
 import time
 from collections.abc import Generator, Mapping
 
-from lentilgauge.load import soak_owners, soak_stalls, soak_tokens
+from lentilgauge.load import (
+    soak_notices,
+    soak_owners,
+    soak_stalls,
+    soak_tokens,
+)
 from lentilgauge.standins import (
     gateway_documents,
     gateway_upstream,
@@ -138,6 +143,9 @@
     )
     late_grants: soak_owners.LateGrants = dataclasses.field(default_factory=set)
     exemptions: list[str] = dataclasses.field(default_factory=list)
+    notices: soak_notices.Notices = dataclasses.field(
+        default_factory=soak_notices.Notices
+    )
     event_lines: list[str] = dataclasses.field(default_factory=list)
 
 
--- a/src/lentilgauge/load/weakened.py
+++ b/src/lentilgauge/load/weakened.py
@@ -110,6 +110,16 @@
     _replace(granter_state, 'take_fence', repeat_fence)
 
 
+def _ignore_departures() -> None:
+    """Go by the store alone, whatever upstreams say in their answers."""
+    _replace(state_cache_module, 'note_leaving', lambda *_: None)
+
+
+def _ignore_pauses() -> None:
+    """Send to upstreams that want no requests for some time."""
+    _replace(upstream_load, 'back_off', lambda *_: None)
+
+
 WEAKENINGS: Mapping[str, Callable[[], None]] = types.MappingProxyType(
     {
         'repeats': _retry_unsafe_failures,
@@ -120,6 +130,8 @@
         'configuration': _keep_first_configuration,
         'answers': _accept_any_reply,
         'tokens': _repeat_tokens,
+        'departures': _ignore_departures,
+        'pauses': _ignore_pauses,
     }
 )
 
--- a/src/lentilgauge/standins/gateway_upstream.py
+++ b/src/lentilgauge/standins/gateway_upstream.py
@@ -37,12 +37,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Callbacks:
-    """Callbacks for the start of an execution and for an accepted grant.
+    """Callbacks for requests and grants; they get the upstream's name first.
 
-    The latter gets the upstream's name and the hold.
+    `request_arrived` and `pause_requested`, which is for a refusal that asks
+    for a pause, get the request's id; `grant_accepted` gets the hold.
     """
 
     execution_started: Callable[[Execution], None] = lambda _: None
+    request_arrived: Callable[[str, str], None] = lambda *_: None
+    pause_requested: Callable[[str, str], None] = lambda *_: None
     grant_accepted: Callable[[str, key_holds.Hold], None] = lambda *_: None
 
 
@@ -55,7 +58,9 @@
     answers orders; `delays_grants` executes grants after a delay and doesn't
     answer them; `accepts_any_id` executes orders for other ids. With
     `duplicates_answers` each answer to a request is sent a second time,
-    refusals too.
+    refusals too. With `leaving` all answers say that the process is leaving.
+    Unless `retry_after_seconds` is 0, requests are refused, and a pause of that
+    length is asked for.
     """
 
     refuses_requests: bool = False
@@ -64,6 +69,8 @@
     ignores_orders: bool = False
     delays_grants: bool = False
     accepts_any_id: bool = False
+    leaving: bool = False
+    retry_after_seconds: float = 0
 
 
 def change_faults(upstream: 'Upstream', faults: UpstreamFaults) -> None:
@@ -86,6 +93,11 @@
     )
 
 
+def _make_notice(faults: UpstreamFaults) -> dict[str, str]:
+    """Make the header with which answers say that a process is leaving."""
+    return {headers.LEAVING: '1'} if faults.leaving else {}
+
+
 class Upstream(standin_server.StandInServer):
     """Upstream that executes requests, if sharded only on keys it holds.
 
@@ -182,7 +194,14 @@
                 headers=refusal_headers,
                 duplicated=self.faults.duplicates_answers,
             )
-        if self.faults.refuses_requests:
+        request_id = refusal_headers[headers.REQUEST_ID]
+        self.callbacks.request_arrived(self.name, request_id)
+        if self.faults.retry_after_seconds:
+            self.callbacks.pause_requested(self.name, request_id)
+            refusal_headers[headers.RETRY_AFTER] = (
+                f'{self.faults.retry_after_seconds:.3f}'
+            )
+        if self.faults.refuses_requests or self.faults.retry_after_seconds:
             return standin_server.Answer(
                 status=http.HTTPStatus.SERVICE_UNAVAILABLE,
                 headers=refusal_headers,
@@ -255,6 +274,7 @@
         return {
             headers.REQUEST_ID: request.headers.get(headers.REQUEST_ID, ''),
             headers.LOAD: f'{running},{self._queued},{_CONCURRENCY},100',
+            **_make_notice(self.faults),
         }
 
     async def _answer_order(
@@ -301,7 +321,7 @@
         if not key_holds.accept_grant(self.hold_table, hold):
             return standin_server.Answer(status=http.HTTPStatus.CONFLICT)
         self.callbacks.grant_accepted(self.name, hold)
-        return standin_server.Answer()
+        return standin_server.Answer(headers=_make_notice(self.faults))
 
     async def _release_keys(
         self,
