Date news of an upstream from before it was sent

Change: an answer is news as of its request, and a report as of the reply that it follows. What was answered of late, for suspicions, is unchanged.

--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -190,7 +190,7 @@
             status=outcome.status,
             **gateway_request.make_log_fields(request, now_ms),
         )
-    _record_reachability(gateway, upstream, outcome)
+    _record_reachability(gateway, upstream, outcome, now_ms - duration_ms)
     match outcome.proof:
         case upstream_link.Proof.EXECUTED:
             upstream_load.record_execution_time(load, duration_ms)
@@ -245,6 +245,7 @@
     gateway: gateway_module.Gateway,
     upstream: upstream_state.Upstream,
     outcome: upstream_link.Outcome,
+    sent_ms: int,
 ) -> None:
     """Record whether an upstream was reachable.
 
@@ -265,7 +266,9 @@
     elif outcome.proof is upstream_link.Proof.UNKNOWN:
         upstream_load.suspend_after_reset(upstream, load, now_ms)
     elif outcome.status:
-        suspicions.record_response(load.reachability, now_ms, suspect_ms)
+        suspicions.record_response(
+            load.reachability, now_ms, suspect_ms, sent_ms=sent_ms
+        )
 
 
 def _may_repeat(
--- a/src/lentilgauge/upstreams/suspicions.py
+++ b/src/lentilgauge/upstreams/suspicions.py
@@ -43,7 +43,9 @@
 
     `connect_failures` counts consecutive connections that this VM could not
     make, the first at `failing_since_ms` and the last at `failed_ms`.
-    `answered_ms` is when an answer was last seen or reported. `own` is this
+    `answered_ms` is when an answer was last seen or reported, and `news_ms` a
+    time after which the process that gave it was running: an answer or report
+    that is read late, as after a pause, is no news. `own` is this
     VM's suspicion and `shared` that of another. With `extends_shared` the next
     answer to this VM extends the latter. `outdated_ms` is when this VM last
     found that what it knew of the upstream was out of date, or 0.
@@ -53,6 +55,7 @@
     failing_since_ms: int = 0
     failed_ms: int = 0
     answered_ms: int = 0
+    news_ms: int = 0
     own: Suspicion = dataclasses.field(default_factory=Suspicion)
     shared: Suspicion = dataclasses.field(default_factory=Suspicion)
     extends_shared: bool = False
@@ -82,8 +85,10 @@
     reachability: Reachability,
     now_ms: int,
     suspect_ms: int,
+    *,
+    sent_ms: int,
 ) -> None:
-    """Reset the failure count after an answer.
+    """Reset the failure count after an answer to a request sent at a time.
 
     A suspect upstream that answers again may be in cold start, not yet
     announced, for `suspect_ms`.
@@ -95,6 +100,7 @@
     reachability.extends_shared = False
     reachability.connect_failures = 0
     reachability.answered_ms = now_ms
+    reachability.news_ms = max(reachability.news_ms, sent_ms)
 
 
 def is_suspect(
@@ -123,7 +129,7 @@
     the store's topics for some time. A VM that has yet to hear of a granter
     knows of no earlier process either.
     """
-    last_news_ms = max(reachability.answered_ms, state_current_ms)
+    last_news_ms = max(reachability.news_ms, state_current_ms)
     if state_current_ms and now_ms - last_news_ms >= _NEWS_TTL_MS:
         reachability.outdated_ms = now_ms
 
--- a/src/lentilgauge/vms/suspicion_sharing.py
+++ b/src/lentilgauge/vms/suspicion_sharing.py
@@ -86,10 +86,19 @@
 ) -> None:
     """Adopt a follower's suspicions, and this granter's own, if plausible."""
     now_ms = gateway.now_ms()
+    receipt = message.receipt
+    reported_after_ms = 0
+    if (
+        receipt is not None
+        and receipt.incarnation == gateway.local_peer.incarnation
+    ):
+        reported_after_ms = receipt.replied_ms
     for answering_id, counters in message.report.report_by_upstream.items():
         if counters.executed:
             load = upstream_load.get_load(gateway.upstream_loads, answering_id)
-            load.reachability.answered_ms = now_ms
+            reachability = load.reachability
+            reachability.answered_ms = now_ms
+            reachability.news_ms = max(reachability.news_ms, reported_after_ms)
     for reported in (message.suspicion_by_upstream, pack_own(gateway)):
         _pass_on(gateway, reported)
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -69,7 +69,10 @@
                 load.reachability, 1, self.clock.now_ms, cold_ms
             )
         suspicions.record_response(
-            load.reachability, self.clock.now_ms, cold_ms
+            load.reachability,
+            self.clock.now_ms,
+            cold_ms,
+            sent_ms=self.clock.now_ms,
         )
 
     async def test_a_restart_in_an_outage_may_be_a_cold_start(self) -> None:
