Show that gateways in touch act on old state as the store turns the granter away

Cause: only the granter watches the store. To notice that the store is silent, to ask all peers and to wake the successor takes up to 2.4 s, more than configApply and drain.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/run.py"
