Show that an evacuation extends a drain

Cause: _may_still_send in callers/upstream_choice looks at the evacuation only for an upstream in an evacuated domain, and forgets that it drains. While its keys can't move, as after the loss of the granter, it gets requests until 3.0 s after the evacuation.

--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -252,13 +252,14 @@
         self.waiting = 0
         self.slot = asyncio.Semaphore(self.slots)
         self.leaving = False
+        self.zone = 'zone-a'
         self.body = b'{"ok": true}'
         #: Replaces the answer to a request: bytes, or a coroutine function.
         self.special = None
 
     def entry(self, state='ready'):
         return {'service': self.service, 'address': self.address,
-                'zone': 'zone-a', 'version': 'v1', 'slots': self.slots,
+                'zone': self.zone, 'version': 'v1', 'slots': self.slots,
                 'state': state, 'coldLeft': '0ms', 'sequence': 1,
                 'born': self.born}
 
