--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import sys
@@ -644,6 +645,7 @@
             await server.stop()
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case, folder):
