Split odd entries in linear time, beside other work

Cause: a message that can't be decoded was split by its brackets in Python on the event loop, up to three times and without a pause; a string that isn't closed took time in the square of its length. Ruled out: the store and links (other gateways answered), the decoder (it rejects in milliseconds). Bounds on single entries were checked afterwards and don't bound a page. Change: one pass with expressions of linear time, a pause for other tasks after each batch, and a bound on the arrays and objects of a body, here and so at the VMs that it is passed on to. message_split is logged. The hypothesis test of the splitter calls it by its new interface.

--- a/src/lentilgauge/platform/store_adapter.py
+++ b/src/lentilgauge/platform/store_adapter.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from lentilgauge.links import http_client, store_link
-from lentilgauge.platform import store_messages
+from lentilgauge.platform import object_bodies, store_messages
 
 #: The store usually replies within milliseconds, but can be slow at times.
 CALL_TIMEOUT_MS = 1000
@@ -26,9 +26,6 @@
         store_link.Topic.EVACUATIONS: 'evacuations',
     },
 )
-#: Longest body of an upstream's entry or an evacuation. All such bodies go to
-#: every VM in one message; the known ones have some 200 bytes.
-_MAX_ENTRY_BYTES = 8192
 #: The call was not processed: the store is unavailable to this VM, or this VM
 #: calls it too often.
 _REFUSED_STATUSES = frozenset(
@@ -119,14 +116,14 @@
         )
         if not isinstance(store_result, result.Success):
             return result.Failure(store_result.failure())
-        page = store_messages.decode_listing(store_result.unwrap())
+        page = await store_messages.decode_listing(store_result.unwrap())
         if page is None:
             return result.Failure(store_link.Failure.UNKNOWN)
         # A watch from the revision of the first page also reports the changes
         # made while the later pages were read.
         listing_revision = listing_revision or page.at
         known_count = len(document_by_name)
-        after_name = _add_page(document_by_name, page, topic)
+        after_name = await _add_page(document_by_name, page, topic)
         if not page.has_more:
             break
         if len(document_by_name) == known_count:
@@ -139,7 +136,7 @@
     )
 
 
-def _add_page(
+async def _add_page(
     document_by_name: dict[str, store_link.Document],
     page: store_messages.ListingMessage,
     topic: store_link.Topic,
@@ -151,8 +148,8 @@
     """
     last_name = ''
     for encoded in page.documents:
-        document = store_messages.decode_document(
-            encoded, _get_max_bytes(topic)
+        document = await store_messages.decode_document(
+            encoded, _get_limits(topic)
         )
         if document is not None and document.name:
             document_by_name[document.name] = document
@@ -160,11 +157,11 @@
     return last_name
 
 
-def _get_max_bytes(topic: store_link.Topic) -> int | None:
-    """Return the longest body of a topic's objects; `None` if any may be."""
+def _get_limits(topic: store_link.Topic) -> object_bodies.Limits:
+    """Return the limits on the bodies of a topic's objects."""
     if topic is store_link.Topic.CONFIGURATION:
-        return None
-    return _MAX_ENTRY_BYTES
+        return object_bodies.DOCUMENT_LIMITS
+    return object_bodies.ENTRY_LIMITS
 
 
 def _make_page_path(topic: store_link.Topic, after_name: str) -> str:
@@ -192,39 +189,42 @@
     reply = store_result.unwrap()
     if reply.status == http.HTTPStatus.GONE:
         return result.Failure(store_link.Failure.HISTORY_GONE)
-    message = store_messages.decode_events(reply)
+    message = await store_messages.decode_events(reply)
     if message is None:
         return result.Failure(store_link.Failure.UNKNOWN)
-    max_bytes = _get_max_bytes(topic)
     return result.Success(
         store_link.Changes(
             revision=message.at,
-            changes=tuple(
-                store_link.Change(document=document, removed=event.removed)
-                for event in message.events
-                if (
-                    document := store_messages.decode_document(
-                        event.object, max_bytes
-                    )
-                )
-                is not None
-                and document.name
-            ),
+            changes=await _decode_changes(message, _get_limits(topic)),
         ),
     )
 
 
+async def _decode_changes(
+    message: store_messages.EventsMessage, limits: object_bodies.Limits
+) -> tuple[store_link.Change, ...]:
+    """Decode the changed objects that have a name."""
+    changes: list[store_link.Change] = []
+    for event in message.events:
+        document = await store_messages.decode_document(event.object, limits)
+        if document is not None and document.name:
+            changes.append(
+                store_link.Change(document=document, removed=event.removed)
+            )
+    return tuple(changes)
+
+
 async def _read_record(endpoint: Endpoint) -> store_link.RecordResult:
     """Read the record as a listing, which includes the store's revision."""
     store_result = await _call(endpoint, 'GET', _RECORD_KIND)
     if not isinstance(store_result, result.Success):
         return result.Failure(store_result.failure())
-    page = store_messages.decode_listing(store_result.unwrap())
+    page = await store_messages.decode_listing(store_result.unwrap())
     if page is None:
         return result.Failure(store_link.Failure.UNKNOWN)
     document = None
     if page.documents:
-        document = store_messages.decode_document(page.documents[0])
+        document = await store_messages.decode_document(page.documents[0])
         if document is None:
             return result.Failure(store_link.Failure.UNKNOWN)
     return result.Success(
@@ -256,7 +256,7 @@
         return result.Failure(store_link.Failure.CONFLICT)
     if reply.status not in {http.HTTPStatus.OK, http.HTTPStatus.CREATED}:
         return result.Failure(store_link.Failure.UNKNOWN)
-    document = store_messages.decode_document(reply.body)
+    document = await store_messages.decode_written_document(reply)
     if document is None:
         return result.Failure(store_link.Failure.UNKNOWN)
     return result.Success(document)
--- a/src/lentilgauge/platform/store_messages.py
+++ b/src/lentilgauge/platform/store_messages.py
@@ -11,12 +11,13 @@
 
 from lentilgauge import events
 from lentilgauge.links import http_client, json_parts, store_link
+from lentilgauge.platform import object_bodies
 
-#: Deep nesting of an object exceeds the recursion limit.
-_DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
-#: Deepest nesting of an object's body: other VMs decode it within a message of
-#: their own, and bodies of the known kinds have a depth of 4 at most.
-_MAX_BODY_DEPTH = 32
+#: Depths down to the members of an object: alone, in a listing's array, and in
+#: a change of an array of changes.
+_MEMBERS_DEPTH = 1
+_LISTED_OBJECT_DEPTH = 3
+_CHANGED_OBJECT_DEPTH = 4
 Message = TypeVar('Message')
 
 
@@ -90,54 +91,65 @@
     """Decode a text; return `None` if any part of it can't be decoded."""
     try:
         return msgspec.json.decode(encoded, type=model)
-    except _DECODING_ERRORS:
+    except object_bodies.DECODING_ERRORS:
         return None
 
 
-def decode_listing(reply: http_client.Reply) -> ListingMessage | None:
+async def decode_listing(reply: http_client.Reply) -> ListingMessage | None:
     """Decode a listing, also if one of its objects makes it unreadable."""
     message = _decode_reply(reply, ListingMessage)
     if message is not None or reply.status != http.HTTPStatus.OK:
         return message
-    members = json_parts.split_object(reply.body)
-    listed = json_parts.split_array(members.pop(b'items', b''))
+    members = await _split_message(reply.body, _LISTED_OBJECT_DEPTH)
+    listed = _pop_items(members, b'items')
     message = _decode(
-        _join_object({**members, b'items': b'[]'}), ListingMessage
+        _join_object(_list_texts(members) | {b'items': b'[]'}), ListingMessage
     )
     if message is None:
         return None
     return msgspec.structs.replace(
-        message, documents=[msgspec.Raw(encoded) for encoded in listed]
+        message, documents=[_make_readable(part) for part in listed]
     )
 
 
-def decode_events(reply: http_client.Reply) -> EventsMessage | None:
+async def decode_events(reply: http_client.Reply) -> EventsMessage | None:
     """Decode changes, also if one of the objects makes them unreadable."""
     message = _decode_reply(reply, EventsMessage)
     if message is not None or reply.status != http.HTTPStatus.OK:
         return message
-    members = json_parts.split_object(reply.body)
-    listed = json_parts.split_array(members.pop(b'events', b''))
+    members = await _split_message(reply.body, _CHANGED_OBJECT_DEPTH)
+    listed = _pop_items(members, b'events')
     message = _decode(
-        _join_object({**members, b'events': b'[]'}), EventsMessage
+        _join_object(_list_texts(members) | {b'events': b'[]'}), EventsMessage
     )
     if message is None:
         return None
-    decoded_events = [_decode_event(encoded) for encoded in listed]
+    decoded_events = [_decode_event(part) for part in listed]
     return msgspec.structs.replace(
         message, events=[event for event in decoded_events if event is not None]
     )
 
 
-def _decode_event(encoded: bytes) -> EventMessage | None:
-    """Decode a change without reading its object."""
-    members = json_parts.split_object(encoded)
-    changed_object = members.pop(b'object', b'null')
-    event = _decode(_join_object({**members, b'object': b'null'}), EventMessage)
-    if event is None:
-        events.log_event(events.Event.OBJECT_UNREADABLE, fault='no change')
-        return None
-    return msgspec.structs.replace(event, object=msgspec.Raw(changed_object))
+async def _split_message(
+    encoded: bytes, object_depth: int
+) -> dict[bytes, json_parts.Part]:
+    """Split an unreadable message down to the members of its objects."""
+    message = await json_parts.split_text(encoded, object_depth)
+    events.log_event(events.Event.MESSAGE_SPLIT, size=len(encoded))
+    return json_parts.split_object(message)
+
+
+def _pop_items(
+    members: dict[bytes, json_parts.Part], name: bytes
+) -> list[json_parts.Part]:
+    """Take a list out of a message's members."""
+    part = members.pop(name, None)
+    return [] if part is None else json_parts.split_array(part)
+
+
+def _list_texts(members: dict[bytes, json_parts.Part]) -> dict[bytes, bytes]:
+    """List the texts of an object's members."""
+    return {name: member.encoded for name, member in members.items()}
 
 
 def _join_object(members: dict[bytes, bytes]) -> bytes:
@@ -147,22 +159,50 @@
     )
 
 
-def decode_document(
+def _make_readable(part: json_parts.Part) -> msgspec.Raw:
+    """Return an object's text, without its body if that is unreadable."""
+    encoded = part.encoded
+    if _decode(encoded, ObjectMessage) is not None:
+        return msgspec.Raw(encoded)
+    metadata = json_parts.split_object(part).get(b'metadata')
+    if metadata is None:
+        return msgspec.Raw(_join_object({}))
+    return msgspec.Raw(_join_object({b'metadata': metadata.encoded}))
+
+
+def _decode_event(part: json_parts.Part) -> EventMessage | None:
+    """Decode a change without reading its object."""
+    members = json_parts.split_object(part)
+    changed_object = members.pop(b'object', None)
+    event = _decode(
+        _join_object(_list_texts(members) | {b'object': b'null'}), EventMessage
+    )
+    if event is None or changed_object is None:
+        events.log_event(events.Event.OBJECT_UNREADABLE, fault='no change')
+        return None
+    return msgspec.structs.replace(event, object=_make_readable(changed_object))
+
+
+async def decode_written_document(
+    reply: http_client.Reply,
+) -> store_link.Document | None:
+    """Decode the object in the answer to a write, also without its body."""
+    if _decode(reply.body, ObjectMessage) is not None:
+        return await decode_document(reply.body)
+    written = await json_parts.split_text(reply.body, _MEMBERS_DEPTH)
+    return await decode_document(_make_readable(written))
+
+
+async def decode_document(
     encoded: bytes | msgspec.Raw,
-    max_bytes: int | None = None,
+    limits: object_bodies.Limits = object_bodies.DOCUMENT_LIMITS,
 ) -> store_link.Document | None:
     """Decode an object; return `None` if its metadata can't be decoded.
 
     Its body is `None` if only that can't be decoded, is nested too deeply, or
-    has more than `max_bytes`.
+    exceeds the limits.
     """
     message = _decode(encoded, ObjectMessage)
-    if message is None:
-        members = json_parts.split_object(bytes(encoded))
-        message = _decode(
-            _join_object({b'metadata': members.get(b'metadata', b'null')}),
-            ObjectMessage,
-        )
     if message is None:
         events.log_event(
             events.Event.OBJECT_UNREADABLE, fault='no name and revision'
@@ -171,21 +211,5 @@
     return store_link.Document(
         name=message.metadata.name,
         revision=message.metadata.revision,
-        body=_decode_body(bytes(message.spec), max_bytes),
+        body=await object_bodies.decode_body(bytes(message.spec), limits),
     )
-
-
-def _decode_body(encoded: bytes, max_bytes: int | None) -> object:
-    """Decode a body; return `None` if that fails or it exceeds a limit."""
-    if max_bytes is not None and len(encoded) > max_bytes:
-        return None
-    bracket_count = encoded.count(b'[') + encoded.count(b'{')
-    if (
-        bracket_count > _MAX_BODY_DEPTH
-        and json_parts.measure_depth(encoded) > _MAX_BODY_DEPTH
-    ):
-        return None
-    try:
-        return msgspec.json.decode(encoded)
-    except _DECODING_ERRORS:
-        return None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -97,6 +97,20 @@
     return store_adapter.make_store(http_client.Client(send=send), 'store:1')
 
 
+def encode_section(listing: store_link.Listing) -> bytes:
+    """Encode a listing as the granter passes it on."""
+    section = peer_link.TopicMessage(
+        mark=listing.revision,
+        edits=0,
+        names=None,
+        documents=[
+            peer_link.pack_document(document)
+            for document in listing.document_by_name.values()
+        ],
+    )
+    return msgspec.json.encode(section)
+
+
 class OddEntriesTest(unittest.IsolatedAsyncioTestCase):
     """An odd entry costs that entry alone."""
 
@@ -185,16 +199,7 @@
         entries.append(encode_entry('z', encode_announcement()))
         body = b'{"items":[%s],"at":9}' % b','.join(entries)
         listing = (await make_store(body).list_topic(_TOPIC)).unwrap()
-        section = peer_link.TopicMessage(
-            mark=9,
-            edits=0,
-            names=None,
-            documents=[
-                peer_link.pack_document(document)
-                for document in listing.document_by_name.values()
-            ],
-        )
-        encoded = msgspec.json.encode(section)
+        encoded = encode_section(listing)
         self.assertLess(len(encoded), 100_000)
         merged = peer_link.merge_topic_changes(
             msgspec.json.decode(encoded, type=peer_link.TopicMessage), {}
@@ -291,13 +296,16 @@
     @hypothesis.given(_JSON_VALUES)
     def test_parts_are_those_of_the_decoder(self, decoded: object) -> None:
         encoded = json.dumps(decoded, ensure_ascii=False).encode()
+        text = asyncio.run(json_parts.split_text(encoded, 1))
         if isinstance(decoded, list):
-            parts = json_parts.split_array(encoded)
-            self.assertEqual([json.loads(part) for part in parts], decoded)
+            parts = json_parts.split_array(text)
+            self.assertEqual(
+                [json.loads(part.encoded) for part in parts], decoded
+            )
         if isinstance(decoded, dict):
-            members = json_parts.split_object(encoded)
+            members = json_parts.split_object(text)
             self.assertEqual(
-                [json.loads(member) for member in members.values()],
+                [json.loads(member.encoded) for member in members.values()],
                 list(decoded.values()),
             )
 
