Let each limit on an upstream hold beside others

Cause: for an upstream in an evacuated domain only the evacuation's limit was looked at, 3.0 s, not the drain's, 1.2 s. Ruled out: late news (upstream_changed comes 1.7 s after the acknowledgement, requests went on); keys that stay are meant. Change: every limit in force must allow a request.

--- a/src/lentilgauge/callers/upstream_choice.py
+++ b/src/lentilgauge/callers/upstream_choice.py
@@ -170,18 +170,34 @@
     """Check whether the owner of a key may still receive requests for it.
 
     An upstream that is draining or in an evacuated failure domain may receive
-    them for a limited time only, any other without limit.
+    them for a limited time only, any other without limit. If it is both, each
+    limit holds.
     """
+    return all(
+        now_ms < since_ms + int(limit_ms * _DRAIN_TIME_SHARE)
+        for since_ms, limit_ms in _list_departures(gateway, upstream)
+    )
+
+
+def _list_departures(
+    gateway: gateway_module.Gateway,
+    upstream: upstream_state.Upstream,
+) -> list[tuple[int, int]]:
+    """List since when an upstream is to be left, each with the time allowed."""
     state_cache = gateway.state_cache
-    if upstream.failure_domain in state_cache.evacuated_domains:
-        since_ms = state_cache.evacuated_since_ms_by_domain[
-            upstream.failure_domain
-        ]
-        limit_ms = gateway.bounds.evacuate_ms
-    else:
-        since_ms = state_cache.draining_since_ms_by_id.get(upstream.id, now_ms)
-        limit_ms = gateway.bounds.drain_ms
-    return now_ms < since_ms + int(limit_ms * _DRAIN_TIME_SHARE)
+    draining_since_ms = state_cache.draining_since_ms_by_id.get(upstream.id)
+    evacuated_since_ms = state_cache.evacuated_since_ms_by_domain.get(
+        upstream.failure_domain
+    )
+    departures = (
+        (draining_since_ms, gateway.bounds.drain_ms),
+        (evacuated_since_ms, gateway.bounds.evacuate_ms),
+    )
+    return [
+        (since_ms, limit_ms)
+        for since_ms, limit_ms in departures
+        if since_ms is not None
+    ]
 
 
 def _has_capacity(
--- a/tests/granting_model.py
+++ b/tests/granting_model.py
@@ -58,7 +58,8 @@
     `exchanges_addresses` whether random faults exchange their addresses, and
     `refuses_cut_calls` whether cut links between VMs refuse connections, and
     `refuses_when_down` whether hosts of ended upstreams do.
-    `entry_by_id` has the upstreams' entries in the store; that of an upstream
+    `evacuation_by_domain` has the requests to evacuate failure domains and
+    `entry_by_id` the upstreams' entries in the store; that of an upstream
     which has ended stays for `ENTRY_EXPIRY_S`. `last_fence_by_grant` maps the
     first key, the last key and the holder's incarnation to the last fencing
     token with which that process was granted these keys.
@@ -91,6 +92,7 @@
         self.last_incarnation = 0
         self.order_count_by_upstream = collections.Counter[str]()
         self.entry_by_id: dict[str, store_link.Document] = {}
+        self.evacuation_by_domain: dict[str, store_link.Document] = {}
         self.announcement_by_incarnation: dict[
             object, upstream_state.Upstream
         ] = {}
@@ -168,6 +170,13 @@
         self.store.revision += 1
         self.entry_by_id.pop(upstream_id, None)
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Write the request to evacuate a failure domain."""
+        self.store.revision += 1
+        self.evacuation_by_domain[failure_domain] = store_link.Document(
+            name=failure_domain, revision=self.store.revision, body={}
+        )
+
     def list_documents(
         self,
         topic: store_link.Topic,
@@ -178,7 +187,7 @@
                 'main': store_link.Document(name='main', revision=1, body=1)
             }
         if topic is store_link.Topic.EVACUATIONS:
-            return {}
+            return dict(self.evacuation_by_domain)
         return dict(self.entry_by_id)
 
     def read_upstream(
--- a/tests/test_late_drains.py
+++ b/tests/test_late_drains.py
@@ -21,6 +21,8 @@
 )
 
 _STEP_S = 0.01
+_DRAIN_S = gateway_fixtures.BOUNDS.drain_ms / 1000
+_EVACUATION_S = gateway_fixtures.BOUNDS.evacuate_ms / 1000
 
 
 def list_sending_vms(
@@ -104,3 +106,27 @@
     def test_a_successor_that_reads_slowly_delays_no_bound(self) -> None:
         """Guard against followers that take a granter's start for news."""
         self.check_drain(0.3)
+
+    def test_an_evacuation_extends_no_drain(self) -> None:
+        """Guard against the longer limit in place of the shorter one.
+
+        No other upstream may take the keys, so that they stay where they are.
+        """
+        model = self.model
+        sent_after_bound: list[tuple[float, list[str]]] = []
+
+        async def drain_amid_evacuation() -> None:
+            await test_granting_model.start_all_vms(model)
+            model.kill_vm(test_granting_model.pick_granter(model))
+            model.evacuate('d')
+            test_succession.drain_upstream(model, 'u1')
+            started = model.loop.time()
+            while model.loop.time() < started + _EVACUATION_S:
+                await asyncio.sleep(_STEP_S)
+                sending_vms = list_sending_vms(model, 'u1')
+                elapsed = model.loop.time() - started
+                if sending_vms and elapsed > _DRAIN_S:
+                    sent_after_bound.append((elapsed, sending_vms))
+
+        virtual_time.run_and_close(model.loop, drain_amid_evacuation())
+        self.assertEqual(sent_after_bound, [])
