Remember that an upstream leaves while its entry is missing

What callers saw: nothing; an upstream that had said in an answer that it leaves would get requests without limit once its entry came back, as after an outage of the store. Cause: note_leaving passed over an upstream that isn't listed at the moment. Change: the process that leaves, and when it said so, are noted with or without an entry, until another process of the upstream is announced. Test: test_an_answer_counts_while_the_entry_is_missing failed before: ready where draining was expected. Passes now, with the other tests of notices and limits.

--- a/src/lentilgauge/vms/state_cache.py
+++ b/src/lentilgauge/vms/state_cache.py
@@ -317,27 +317,29 @@
 ) -> None:
     """Take an upstream for draining from now on, as its process is leaving.
 
-    Its entry may say so later, or never.
+    Its entry may say so later, or never, or be missing for the moment.
     """
     known = state_cache.upstream_by_id.get(upstream.id)
-    if known is None or known.incarnation != upstream.incarnation:
+    if known is not None and known.incarnation != upstream.incarnation:
         return
-    if state_cache.leaving_incarnation_by_id.get(known.id) == known.incarnation:
+    leaving = state_cache.leaving_incarnation_by_id
+    if leaving.get(upstream.id) == upstream.incarnation:
         return
-    state_cache.leaving_incarnation_by_id[known.id] = known.incarnation
+    leaving[upstream.id] = upstream.incarnation
     events.log_event(
         events.Event.UPSTREAM_LEAVING,
-        upstream=known.id,
-        life=known.incarnation,
-        state=known.state,
+        upstream=upstream.id,
+        life=upstream.incarnation,
+        state=upstream.state,
     )
     state_cache.draining_since_ms_by_id.setdefault(
-        known.id, state_cache.now_ms()
+        upstream.id, state_cache.now_ms()
     )
-    state_cache.upstream_by_id = {
-        **state_cache.upstream_by_id,
-        known.id: upstream_state.apply_departure(known, known.incarnation),
-    }
+    if known is not None:
+        state_cache.upstream_by_id = {
+            **state_cache.upstream_by_id,
+            known.id: upstream_state.apply_departure(known, known.incarnation),
+        }
     notify_change(state_cache)
 
 
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -197,6 +197,29 @@
             self.cache.upstream_by_id['u0'].state, upstream_state.State.READY
         )
 
+    async def test_an_answer_counts_while_the_entry_is_missing(self) -> None:
+        """Guard against a leaving upstream that is ready once listed again."""
+        self.cache.decoders = dataclasses.replace(
+            self.cache.decoders, read_upstream=objects.read_upstream
+        )
+        self.announce(1, born=17)
+        upstream = self.cache.upstream_by_id['u0']
+        state_cache_module.replace_topic(
+            self.cache, store_link.Topic.UPSTREAMS, 2, {}
+        )
+        state_cache_module.note_leaving(self.cache, upstream)
+        told_ms = self.clock.now_ms
+        self.announce(3, born=17)
+        self.assertIs(
+            self.cache.upstream_by_id['u0'].state,
+            upstream_state.State.DRAINING,
+        )
+        self.assertEqual(self.cache.draining_since_ms_by_id['u0'], told_ms)
+        self.announce(4, born=18)
+        self.assertIs(
+            self.cache.upstream_by_id['u0'].state, upstream_state.State.READY
+        )
+
     async def test_the_granter_hears_of_it_in_every_report(self) -> None:
         """Guard against keys that stay at an upstream that leaves."""
         self.answer_with(leaving=True)
