Bound the time from a change to all VMs as the store goes silent

Cause: waits that were each bounded, and whose sum nobody had: 700 ms to the next check of the term, 1,000 ms for its answer, 400 to 600 ms for all VMs to say whether the store answers them, 300 ms of the successor's long poll, and up to two more of the former granter's. Ruled out: a successor that reads slowly (30 ms in the model). Change: an answer that is overdue by 350 ms makes the granter ask eight VMs; it hands over if one is answered sooner. The first of the largest that says yes is taken. Who is asked to take over breaks off its long poll. The former granter follows it until its term has begun. Topics are read again beside the checks of the term. The long poll's functions move to vms/long_poll, the term's checks to vms/term_check; two tests call these there, and one calls find_successor in place of the function that it replaces.

--- a/src/lentilgauge/events.py
+++ b/src/lentilgauge/events.py
@@ -41,6 +41,7 @@
     GRANTER_SILENT = 'granter_silent'
     FOLLOWING_THROUGH = 'following_through'
     TAKEOVER_FAILED = 'takeover_failed'
+    STORE_SILENT = 'store_silent'
     TERM_UNCONFIRMED = 'term_unconfirmed'
     TERM_CONFIRMED = 'term_confirmed'
     TERM_LAPSED = 'term_lapsed'
--- a/src/lentilgauge/vms/granter_following.py
+++ b/src/lentilgauge/vms/granter_following.py
@@ -11,27 +11,24 @@
 from lentilgauge import clock, events
 from lentilgauge.contracts import grant_timing
 from lentilgauge.contracts import ownership as ownership_module
-from lentilgauge.links import http_client, peer_link, store_link
+from lentilgauge.links import http_client, store_link
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import granter_state as granter_state_module
 from lentilgauge.vms import (
     granter_term,
+    long_poll,
     peer_views,
     store_watch,
-    suspicion_sharing,
 )
 from lentilgauge.vms import state_cache as state_cache_module
 
-#: How long a long poll waits for changes; each poll carries a
-#: report for the granter.
-LONG_POLL_WAIT_MS = 300
-#: Additional time, beyond that wait, within which the reply must arrive.
-_LONG_POLL_MARGIN_MS = 250
 #: Consecutive failures after which the granter is no longer followed.
 _MAX_FAILURES = 2
 #: State that the granter last confirmed longer ago than this is stale, and the
 #: VM that it came from is no longer followed.
 MAX_STATE_AGE_MS = 1500
+#: How long a granter that has handed over waits for its successor's term.
+_MAX_SUCCESSION_MS = 1000
 #: Longest random pauses before a VM tries to take over. Seeds try first, so
 #: that not all VMs call the store at once.
 _SEED_MAX_PAUSE_MS = 60
@@ -59,19 +56,31 @@
             await _follow_until_unreachable(gateway)
         else:
             await granter_term.run_term(granter_state)
-            await _hear_of_successor(gateway, granter_state.successor)
+            if await _hear_of_successor(granter_state):
+                await _follow_until_unreachable(gateway)
 
 
 async def _hear_of_successor(
-    gateway: gateway_module.Gateway, successor: peer_link.Peer | None
-) -> None:
-    """Follow the VM that was asked to take over, until its term has begun.
+    granter_state: granter_state_module.GranterState,
+) -> bool:
+    """Follow the VM that was asked to take over until its term has begun.
 
-    The VMs that followed this one learn of the new granter through it. Any
-    other VM that it asked would know no more than this one told it.
+    Return whether it has. The VMs that followed this one learn of the new
+    granter through it. Any other VM that it asked would know no more than this
+    one told it.
     """
-    if successor is not None:
-        await follow_once(gateway, successor.address)
+    gateway = granter_state.gateway
+    successor = granter_state.successor
+    if successor is None:
+        return False
+    ended_term = granter_state.ownership.term
+    deadline_ms = gateway.now_ms() + _MAX_SUCCESSION_MS
+    while gateway.now_ms() < deadline_ms:
+        if await long_poll.follow_once(gateway, successor.address) is not None:
+            return False
+        if gateway.state_cache.ownership.term > ended_term:
+            return True
+    return False
 
 
 def find_granter_address(gateway: gateway_module.Gateway) -> str:
@@ -88,7 +97,7 @@
         address = find_granter_address(gateway)
         if not address:
             return
-        failure = await follow_once(gateway, address)
+        failure = await long_poll.follow_unless_asked(gateway, address)
         if failure is None:
             failures = 0
             if not heard_granter_recently(gateway):
@@ -107,106 +116,6 @@
     return age_ms < MAX_STATE_AGE_MS
 
 
-async def follow_once(
-    gateway: gateway_module.Gateway,
-    address: str,
-) -> http_client.LinkFailure | None:
-    """Ask a VM once for newer state, with a long poll.
-
-    Return `None` on success, otherwise the failure.
-    """
-    request_sent_ms = gateway.now_ms()
-    state_cache = gateway.state_cache
-    message = peer_link.FollowMessage(
-        peer=gateway.local_peer,
-        mark_by_topic={
-            topic: (cached_topic.revision, cached_topic.local_removals)
-            for topic, cached_topic in state_cache.cached_by_topic.items()
-        },
-        term=state_cache.ownership.term,
-        serial=state_cache.ownership.serial,
-        wait_ms=LONG_POLL_WAIT_MS,
-        peers_digest=_digest_other_peers(gateway, address),
-        outage_age_ms=gateway_module.get_outage_report_age_ms(gateway),
-        report=gateway_module.collect_report(gateway),
-        suspicion_by_upstream=suspicion_sharing.pack_own(gateway),
-        receipt=gateway.receipt,
-    )
-    reply_outcome = await peer_link.call_peer(
-        gateway.client,
-        peer_link.PeerCall(
-            address=address,
-            path=peer_link.FOLLOW_PATH,
-            timeout_ms=_LONG_POLL_MARGIN_MS + LONG_POLL_WAIT_MS,
-            message=message,
-        ),
-        peer_link.FollowReply,
-    )
-    if not isinstance(reply_outcome, result.Success):
-        gateway.metrics.count('follow_failures', reply_outcome.failure())
-        link_failure: http_client.LinkFailure = reply_outcome.failure()
-        return link_failure
-    apply_reply(gateway, reply_outcome.unwrap(), request_sent_ms)
-    return None
-
-
-def apply_reply(
-    gateway: gateway_module.Gateway,
-    reply: peer_link.FollowReply,
-    request_sent_ms: int,
-) -> None:
-    """Apply the newer state in another VM's reply."""
-    gateway_module.record_peer(gateway, reply.view.peer)
-    gateway.receipt = peer_link.ReplyReceipt(
-        incarnation=reply.view.peer.incarnation, replied_ms=reply.replied_ms
-    )
-    _record_known_peers(gateway, reply)
-    state_cache = gateway.state_cache
-    for topic, section in reply.section_by_topic.items():
-        known_documents = state_cache.cached_by_topic[topic].document_by_name
-        state_cache_module.replace_topic(
-            state_cache,
-            topic,
-            section.mark,
-            peer_link.merge_topic_changes(section, known_documents),
-            section.edits,
-        )
-    if reply.news is not None:
-        state_cache_module.apply_ownership_delta(state_cache, reply.news)
-    suspicion_sharing.adopt_shared(gateway, reply.suspicion_by_upstream)
-    # Counted from the request, so that the wait for changes can't make the
-    # state look newer than it is.
-    heard_ms = request_sent_ms - reply.view.age_ms
-    state_cache.granter_heard_ms = max(state_cache.granter_heard_ms, heard_ms)
-    state_cache.state_current_ms = max(
-        state_cache.state_current_ms, heard_ms - reply.view.state_lag_ms
-    )
-
-
-def _digest_other_peers(gateway: gateway_module.Gateway, address: str) -> int:
-    """Return a digest of the live peers except the one at an address."""
-    return peer_link.compute_peers_digest(
-        peer
-        for peer in gateway_module.list_live_peers(gateway)
-        if peer.address != address
-    )
-
-
-def _record_known_peers(
-    gateway: gateway_module.Gateway,
-    reply: peer_link.FollowReply,
-) -> None:
-    """Record as live the peers that the replying VM knows.
-
-    A reply without a list of peers means that both VMs know the same ones.
-    """
-    peers = reply.peers
-    if peers is None:
-        peers = gateway_module.list_live_peers(gateway)
-    for peer in peers:
-        gateway_module.record_peer(gateway, peer)
-
-
 async def follow_or_take_over(
     gateway: gateway_module.Gateway,
 ) -> granter_state_module.GranterState | None:
@@ -267,7 +176,7 @@
     recent_views.sort(key=lambda view: (view.term, view.grants), reverse=True)
     for view in recent_views:
         gateway_module.record_peer(gateway, view.peer)
-        if await follow_once(gateway, view.peer.address) is None:
+        if await long_poll.follow_once(gateway, view.peer.address) is None:
             return await _follow_granter_or_relay(gateway, view.peer.address)
     return False
 
@@ -280,7 +189,7 @@
     address = find_granter_address(gateway)
     if address == relay_address:
         return True
-    if address and await follow_once(gateway, address) is None:
+    if address and await long_poll.follow_once(gateway, address) is None:
         return True
     await _follow_relay(gateway, relay_address)
     return False
@@ -292,7 +201,7 @@
 ) -> None:
     """Follow a relay for as long as its state is fresh and it is needed."""
     events.log_event(events.Event.FOLLOWING_THROUGH, address=address)
-    while await follow_once(gateway, address) is None:
+    while await long_poll.follow_unless_asked(gateway, address) is None:
         if gateway.takeover_requested.is_set() or not heard_granter_recently(
             gateway
         ):
--- a/src/lentilgauge/vms/granter_handover.py
+++ b/src/lentilgauge/vms/granter_handover.py
@@ -10,7 +10,7 @@
 from lentilgauge.vms import store_access
 
 #: Pause between two checks whether to hand over.
-_TICK_MS = 50
+TICK_MS = 50
 #: How often a granter that can't reach the store looks for a VM that can.
 _HANDOVER_RETRY_MS = 600
 _TAKEOVER_REQUEST_TIMEOUT_MS = 600
@@ -21,34 +21,60 @@
 ) -> None:
     """Hand over when this VM leaves or can't reach the store."""
     gateway = granter_state.gateway
+    early_check_ms = 0
     while not granter_state.stopped:
-        await asyncio.sleep(clock.to_seconds(_TICK_MS))
-        if gateway.draining and granter_state.term_confirmed:
-            _hand_over(granter_state, gateway_module.list_live_peers(gateway))
-        elif not granter_state.term_confirmed:
-            _hand_over(
-                granter_state,
-                await store_access.find_peers_reaching_store(granter_state),
-            )
+        await asyncio.sleep(clock.to_seconds(TICK_MS))
+        unanswered_check_ms = granter_state.unanswered_check_ms
+        if not granter_state.term_confirmed:
+            await _hand_over_to_store_access(granter_state)
             await asyncio.sleep(clock.to_seconds(_HANDOVER_RETRY_MS))
+        elif gateway.draining:
+            _hand_over(granter_state, _pick_successor(gateway))
+        elif unanswered_check_ms != early_check_ms:
+            early_check_ms = unanswered_check_ms
+            await _hand_over_to_store_access(granter_state)
 
 
-def _hand_over(
+async def _hand_over_to_store_access(
     granter_state: granter_state_module.GranterState,
-    peers: list[peer_link.Peer],
 ) -> None:
-    """Stop and choose a successor at random among the largest peers.
+    """Hand over to a VM that reaches the store, if this VM still may not.
+
+    While an answer of the store is only overdue, that VM got a later one
+    sooner.
+    """
+    if granter_state_module.doubts_store(granter_state):
+        successor = await store_access.find_successor(granter_state)
+        if granter_state_module.doubts_store(granter_state):
+            _hand_over(granter_state, successor)
+
+
+def _pick_successor(
+    gateway: gateway_module.Gateway,
+) -> peer_link.Peer | None:
+    """Pick one of the largest live peers at random.
 
     The largest are those with the most cores, as granting takes much of a
     core in a large fleet.
     """
-    if not peers or granter_state.stopped:
-        return
+    peers = gateway_module.list_live_peers(gateway)
+    if not peers:
+        return None
     max_cores = max(peer.cores for peer in peers)
-    largest_peers = [peer for peer in peers if peer.cores == max_cores]
-    peer = granter_state.gateway.random.choice(largest_peers)
-    granter_state.successor = peer
-    granter_state_module.stop(granter_state, f'handing over to {peer.vm}')
+    return gateway.random.choice(
+        [peer for peer in peers if peer.cores == max_cores]
+    )
+
+
+def _hand_over(
+    granter_state: granter_state_module.GranterState,
+    successor: peer_link.Peer | None,
+) -> None:
+    """Stop in favour of a successor, if there is one."""
+    if successor is None or granter_state.stopped:
+        return
+    granter_state.successor = successor
+    granter_state_module.stop(granter_state, f'handing over to {successor.vm}')
 
 
 async def request_takeover(
--- a/src/lentilgauge/vms/granter_state.py
+++ b/src/lentilgauge/vms/granter_state.py
@@ -54,7 +54,10 @@
     `confirmed_ms` is the send time of the last request by which the store
     confirmed the term. `incarnation_at_confirmation_by_vm` has the peers that
     were known by then. `term_confirmed` is false from a failed check
-    of the term until the store confirms it again. `store_outage` says that the
+    of the term until the store confirms it again. `unanswered_check_ms` is when
+    a check was sent whose answer is overdue; 0 if none is. `read_revision` is
+    the store's revision at the last check, and `revision_read` is set by each
+    check. `store_outage` says that the
     store is unreachable for most VMs. Orders may be sent until `orders_end_ms`.
     `orders_suspended` says that this had passed when it was last checked for
     the log.
@@ -93,6 +96,11 @@
         default_factory=dict
     )
     term_confirmed: bool = True
+    unanswered_check_ms: int = 0
+    read_revision: int = 0
+    revision_read: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
     store_outage: bool = False
     orders_suspended: bool = False
     stopped: bool = False
@@ -148,6 +156,17 @@
     return now_ms(granter_state) < granter_state.orders_end_ms
 
 
+def doubts_store(granter_state: GranterState) -> bool:
+    """Return whether the store may be unreachable for this granter.
+
+    A check failed, or its answer is overdue and no request that was sent later
+    has confirmed the term.
+    """
+    if not granter_state.term_confirmed:
+        return True
+    return granter_state.confirmed_ms < granter_state.unanswered_check_ms
+
+
 def have_earlier_orders_ended(granter_state: GranterState) -> bool:
     """Return whether no order of an earlier granter can arrive any more.
 
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -26,13 +26,12 @@
     key_orders,
     record_writer,
     store_watch,
+    term_check,
     upstream_checks,
 )
 from lentilgauge.vms import granter_state as granter_state_module
 from lentilgauge.vms import state_cache as state_cache_module
 
-#: How often the term is checked against the store.
-TERM_CHECK_INTERVAL_MS = 700
 #: Longest pause between two checks for orders that are due.
 TICK_MS = 50
 _VIEW_TIMEOUT_MS = 150
@@ -295,7 +294,8 @@
     coroutines: list[Coroutine[object, object, None]] = [
         store_watch.watch_all_topics(granter_state),
         record_writer.run_record_writer(granter_state),
-        _check_term_periodically(granter_state),
+        term_check.check_term_periodically(granter_state),
+        store_watch.complete_topics(granter_state),
         granter_handover.hand_over_when_needed(granter_state),
         _determine_earlier_orders(granter_state),
     ]
@@ -365,29 +365,3 @@
             confirmed_age_ms=granter_state_module.now_ms(granter_state)
             - granter_state.confirmed_ms,
         )
-
-
-async def _check_term_periodically(
-    granter_state: granter_state_module.GranterState,
-) -> None:
-    """Check the term against the store at regular intervals."""
-    while not granter_state.stopped:
-        await asyncio.sleep(clock.to_seconds(TERM_CHECK_INTERVAL_MS))
-        request_sent_ms = granter_state_module.now_ms(granter_state)
-        read_outcome = await granter_state.gateway.store.read_record()
-        if not isinstance(read_outcome, result.Success):
-            _note_term_unconfirmed(granter_state)
-            continue
-        reading = read_outcome.unwrap()
-        record_writer.check_stored_record(
-            granter_state, reading.document, request_sent_ms
-        )
-        await store_watch.reload_missed_topics(granter_state, reading.revision)
-
-
-def _note_term_unconfirmed(
-    granter_state: granter_state_module.GranterState,
-) -> None:
-    if granter_state.term_confirmed:
-        events.log_event(events.Event.TERM_UNCONFIRMED)
-    granter_state.term_confirmed = False
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -150,9 +150,14 @@
     overloads its granter, which then seems silent and is replaced by another
     that is overloaded as well.
     """
-    excess_vms = gateway_module.count_vms(gateway) - _UNPACED_VMS
+    interval_ms = compute_pacing_interval_ms(gateway_module.count_vms(gateway))
     last_ms = gateway.replied_ms_by_vm.get(vm, 0)
-    return last_ms + max(excess_vms, 0) * _PACING_PER_VM_MS - gateway.now_ms()
+    return last_ms + interval_ms - gateway.now_ms()
+
+
+def compute_pacing_interval_ms(vm_count: int) -> int:
+    """Return the shortest interval between two replies to a VM of a fleet."""
+    return max(vm_count - _UNPACED_VMS, 0) * _PACING_PER_VM_MS
 
 
 def _has_updates(
--- a/src/lentilgauge/vms/store_access.py
+++ b/src/lentilgauge/vms/store_access.py
@@ -1,6 +1,8 @@
-"""Find VMs that can reach the store when the granter can't."""
+"""Find a VM that can reach the store when the granter can't."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncGenerator, Mapping
 
 from returns import result
 
@@ -11,25 +13,77 @@
 
 #: Time for a VM to answer whether it can reach the store.
 _STORE_QUERY_TIMEOUT_MS = 600
+#: While the store's answer is only overdue, no more VMs than these are asked,
+#: as each of them calls the store. A third of the VMs may be without it.
+_MAX_EARLY_QUERIES = 8
 
+#: A VM and whether it reaches the store; `None` without an answer.
+StoreAccess = tuple[peer_link.Peer, bool | None]
 
-async def find_peers_reaching_store(
+
+async def find_successor(
     granter_state: granter_state_module.GranterState,
-) -> list[peer_link.Peer]:
-    """Ask the live peers whether they reach the store; list those that do.
+) -> peer_link.Peer | None:
+    """Ask peers whether they reach the store; return one that does.
 
-    If this granter and most VMs can't reach it, that is noted as an outage.
+    It is one of the largest, with the most cores, if any of these does, as
+    granting takes much of a core in a large fleet; the first of these to answer
+    is taken. If this granter and most VMs can't reach the store, that is noted
+    as an outage.
     """
     gateway = granter_state.gateway
     peers = gateway_module.list_live_peers(gateway)
-    answers = await asyncio.gather(
-        *(_query_store_access(gateway, peer) for peer in peers),
+    if granter_state.term_confirmed:
+        peers = _pick_largest(gateway, peers)
+    max_cores = max((peer.cores for peer in peers), default=0)
+    reachable_by_vm: dict[str, bool | None] = {}
+    async with contextlib.aclosing(_query_peers(gateway, peers)) as answers:
+        async for peer, reachable in answers:
+            reachable_by_vm[peer.vm] = reachable
+            if reachable and peer.cores == max_cores:
+                return peer
+    _note_outage(granter_state, reachable_by_vm)
+    return max(
+        (candidate for candidate in peers if reachable_by_vm[candidate.vm]),
+        key=lambda candidate: candidate.cores,
+        default=None,
     )
-    peer_answers = zip(peers, answers, strict=True)
+
+
+async def _query_peers(
+    gateway: gateway_module.Gateway, peers: list[peer_link.Peer]
+) -> AsyncGenerator[StoreAccess, None]:
+    """Ask peers whether they reach the store; yield each answer as it comes."""
+    queries = [
+        asyncio.ensure_future(_query_store_access(gateway, peer))
+        for peer in peers
+    ]
+    try:
+        for answered in asyncio.as_completed(queries):
+            yield await answered
+    finally:
+        for query in queries:
+            query.cancel()
+
+
+def _pick_largest(
+    gateway: gateway_module.Gateway, peers: list[peer_link.Peer]
+) -> list[peer_link.Peer]:
+    """Pick the largest peers, at random among those of one size."""
+    shuffled = gateway.random.sample(peers, len(peers))
+    shuffled.sort(key=lambda peer: peer.cores, reverse=True)
+    return shuffled[:_MAX_EARLY_QUERIES]
+
+
+def _note_outage(
+    granter_state: granter_state_module.GranterState,
+    reachable_by_vm: Mapping[str, bool | None],
+) -> None:
+    """Note whether the store is unreachable for this granter and most VMs."""
     vms_without_store = {
-        peer.vm for peer, reachable in peer_answers if reachable is False
+        vm for vm, reachable in reachable_by_vm.items() if reachable is False
     }
-    vms_without_store.add(gateway.local_peer.vm)
+    vms_without_store.add(granter_state.gateway.local_peer.vm)
     in_outage = not granter_state.term_confirmed and all(
         grant_timing.is_majority(
             len(vms_without_store.intersection(vms)), len(vms)
@@ -37,17 +91,12 @@
         for vms in granter_state_module.list_vm_sets(granter_state)
     )
     granter_state_module.note_store_outage(granter_state, in_outage=in_outage)
-    return [
-        peer
-        for peer, reachable in zip(peers, answers, strict=True)
-        if reachable
-    ]
 
 
 async def _query_store_access(
     gateway: gateway_module.Gateway,
     peer: peer_link.Peer,
-) -> bool | None:
+) -> StoreAccess:
     """Ask a VM whether it can reach the store; `None` without an answer."""
     reply = await peer_link.call_peer(
         gateway.client,
@@ -59,6 +108,6 @@
         peer_link.StoreAccessMessage,
     )
     if not isinstance(reply, result.Success):
-        return None
+        return peer, None
     message: peer_link.StoreAccessMessage = reply.unwrap()
-    return message.reachable
+    return peer, message.reachable
--- a/src/lentilgauge/vms/store_watch.py
+++ b/src/lentilgauge/vms/store_watch.py
@@ -42,7 +42,20 @@
     return len(granter_state.loaded_topics) == len(store_link.Topic)
 
 
-async def reload_missed_topics(
+async def complete_topics(
+    granter_state: granter_state_module.GranterState,
+) -> None:
+    """Read topics again that are behind, until the granter stops.
+
+    This happens beside the checks of the term, which it would delay.
+    """
+    while not granter_state.stopped:
+        await granter_state.revision_read.wait()
+        granter_state.revision_read.clear()
+        await _reload_missed_topics(granter_state, granter_state.read_revision)
+
+
+async def _reload_missed_topics(
     granter_state: granter_state_module.GranterState,
     store_revision: int,
 ) -> None:
--- a/tests/granting_store.py
+++ b/tests/granting_store.py
@@ -18,7 +18,8 @@
 
     `document` has the ownership record, and `revision` is the store's latest.
     VMs named in `unreachable_for` can't reach the store; the name 'all' stands
-    for every VM. `late_write_probability` is the probability that a write isn't
+    for every VM. Their readings fail after `failure_s` seconds.
+    `late_write_probability` is the probability that a write isn't
     answered and is executed late.
     """
 
@@ -28,6 +29,7 @@
         self.revision = 1
         self.document: store_link.Document | None = None
         self.unreachable_for: set[str] = set()
+        self.failure_s: float = 0.3
         self.late_write_probability: float = 0
 
     def make_link(self, vm: str) -> store_link.Store:
@@ -39,11 +41,15 @@
             write_record=functools.partial(self.write_record, vm),
         )
 
-    async def connect(self, vm: str, timeout_seconds: float = 0.3) -> bool:
-        """Simulate a VM's call to the store; return False if it times out."""
+    async def connect(
+        self, vm: str, timeout_seconds: float | None = None
+    ) -> bool:
+        """Simulate a VM's call to the store; return False if it fails."""
         await asyncio.sleep(0.004)
         if vm not in self.unreachable_for and 'all' not in self.unreachable_for:
             return True
+        if timeout_seconds is None:
+            timeout_seconds = self.failure_s
         await asyncio.sleep(timeout_seconds)
         return False
 
--- a/tests/test_held_up_questions.py
+++ b/tests/test_held_up_questions.py
@@ -8,7 +8,7 @@
 
 from lentilgauge.links import http_client, peer_link
 from lentilgauge.vms import gateway as gateway_module
-from lentilgauge.vms import granter_following, peer_routes
+from lentilgauge.vms import long_poll, peer_routes
 from tests import gateway_fixtures
 
 _HELD_MS = 10_000
@@ -69,7 +69,7 @@
 
     async def ask(self) -> None:
         """Have the follower ask the granter once."""
-        await granter_following.follow_once(self.follower, 'granter')
+        await long_poll.follow_once(self.follower, 'granter')
 
     async def test_an_answered_question_proves_that_its_vm_followed(
         self,
--- a/tests/test_suspicion_sharing.py
+++ b/tests/test_suspicion_sharing.py
@@ -15,7 +15,7 @@
 from lentilgauge.links import http_client, peer_link, upstream_link
 from lentilgauge.upstreams import suspicions
 from lentilgauge.vms import gateway as gateway_module
-from lentilgauge.vms import granter_following, peer_routes
+from lentilgauge.vms import long_poll, peer_routes
 from tests import gateway_fixtures
 
 _VM_COUNT = 3
@@ -157,7 +157,7 @@
     async def follow(self) -> None:
         """Let each VM follow the granter once, the reporting VM first."""
         for gateway in reversed(self.gateways[1:]):
-            await granter_following.follow_once(gateway, 'vm-0:1')
+            await long_poll.follow_once(gateway, 'vm-0:1')
 
     async def test_vms_that_did_not_try_learn_of_a_restart(self) -> None:
         """Guard against a full load from VMs that missed the failures.
--- a/tests/test_unanswered_records.py
+++ b/tests/test_unanswered_records.py
@@ -124,7 +124,7 @@
         await self.add_vms(_UNANSWERED_VMS)
         await self.add_vms(_LATE_VMS)
         self.state.term_confirmed = False
-        await store_access.find_peers_reaching_store(self.state)
+        await store_access.find_successor(self.state)
         self.assertFalse(self.state.store_outage)
 
     async def test_a_reading_overtaken_by_a_write_changes_nothing(self) -> None:
