Test that a slow store replaces no granter

Cause: a granter now doubts the store after 0.35 s; a store that is slow for all must not make it hand over. Change: test_news_budget plays answers of 0.29 to 0.9 s in the model.

--- a/tests/granting_store.py
+++ b/tests/granting_store.py
@@ -18,7 +18,8 @@
 
     `document` has the ownership record, and `revision` is the store's latest.
     VMs named in `unreachable_for` can't reach the store; the name 'all' stands
-    for every VM. Their readings fail after `failure_s` seconds.
+    for every VM. Their readings fail after `failure_s` seconds; all other calls
+    are answered after `answer_s`.
     `late_write_probability` is the probability that a write isn't
     answered and is executed late.
     """
@@ -30,6 +31,7 @@
         self.document: store_link.Document | None = None
         self.unreachable_for: set[str] = set()
         self.failure_s: float = 0.3
+        self.answer_s: float = 0.004
         self.late_write_probability: float = 0
 
     def make_link(self, vm: str) -> store_link.Store:
@@ -45,7 +47,7 @@
         self, vm: str, timeout_seconds: float | None = None
     ) -> bool:
         """Simulate a VM's call to the store; return False if it fails."""
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(self.answer_s)
         if vm not in self.unreachable_for and 'all' not in self.unreachable_for:
             return True
         if timeout_seconds is None:
--- a/tests/test_news_budget.py
+++ b/tests/test_news_budget.py
@@ -36,6 +36,10 @@
 #: that refuse it or resets.
 _SILENCE_S = store_adapter.CALL_TIMEOUT_MS / 1000
 _REFUSAL_S = 0
+#: Answers that come in time, are overdue, or come too late for a VM that asks
+#: on behalf of the granter.
+_SLOW_ANSWERS_S = (0.29, 0.36, 0.39, 0.45, 0.6, 0.9)
+_SLOW_S = 10
 
 
 class NewsStepsTest(unittest.TestCase):
@@ -111,6 +115,35 @@
         self.check_news()
 
 
+class SlowStoreTest(unittest.TestCase):
+    """A store that is slow for all VMs is no reason to hand over."""
+
+    def test_a_slow_store_replaces_no_granter(self) -> None:
+        """Guard against handovers while no VM is answered any sooner."""
+        loguru.logger.remove()
+        for seed, answer_s in enumerate(_SLOW_ANSWERS_S):
+            model = granting_model.Model(
+                virtual_time.VirtualLoop(), seed, _VM_COUNT, _UPSTREAM_COUNT
+            )
+            terms: list[int] = []
+            virtual_time.run_and_close(
+                model.loop, slow_store_down(model, answer_s, terms)
+            )
+            self.assertEqual(len(set(terms)), 1, answer_s)
+            self.assertEqual(model.violations, [])
+
+
+async def slow_store_down(
+    model: granting_model.Model, answer_s: float, terms: list[int]
+) -> None:
+    """Note the term before and after a time in which the store is slow."""
+    await test_granting_model.start_all_vms(model)
+    terms.append(test_succession.find_latest_term(model))
+    model.store.answer_s = answer_s
+    await asyncio.sleep(_SLOW_S)
+    terms.append(test_succession.find_latest_term(model))
+
+
 async def drain_amid_cut(
     model: granting_model.Model, offset_s: float, delays_s: list[float]
 ) -> None:
