Share the fixture of a holder of all keys

Cause: two tests set the same ownership up. Change: gateway_fixtures.own_all_keys; no check is changed.

--- a/tests/gateway_fixtures.py
+++ b/tests/gateway_fixtures.py
@@ -16,7 +16,7 @@
     store_link,
     upstream_link,
 )
-from lentilgauge.services import routes
+from lentilgauge.services import key_ranges, routes
 from lentilgauge.upstreams import upstream_load, upstream_state
 from lentilgauge.vms import (
     gateway,
@@ -227,3 +227,17 @@
         confirmed_ms=0,
         earlier_orders=grant_timing.EarlierOrdersBounds(),
     )
+
+
+def own_all_keys(
+    state_cache: state_cache_module.StateCache, upstream_id: str
+) -> None:
+    """Make the service keyed, with all keys at one upstream."""
+    state_cache.configuration = make_configuration(keyed=True)
+    range_table = key_ranges.make_table(key_ranges.split_key_space(1))
+    for key_range in range_table.ranges:
+        key_range.holder = upstream_id
+        key_range.served = True
+    state_cache.ownership = ownership.Ownership(
+        table_by_service={'s': range_table}
+    )
--- a/tests/test_departure_limits.py
+++ b/tests/test_departure_limits.py
@@ -9,10 +9,8 @@
 import loguru
 
 from lentilgauge.callers import upstream_choice
-from lentilgauge.contracts import ownership
 from lentilgauge.links import store_link
 from lentilgauge.platform import objects
-from lentilgauge.services import key_ranges
 from lentilgauge.upstreams import upstream_load, upstream_state
 from lentilgauge.vms import state_cache as state_cache_module
 from tests import gateway_fixtures, test_platform_adapter
@@ -37,16 +35,7 @@
         self.cache.decoders = dataclasses.replace(
             self.cache.decoders, read_upstream=objects.read_upstream
         )
-        self.cache.configuration = gateway_fixtures.make_configuration(
-            keyed=True
-        )
-        range_table = key_ranges.make_table(key_ranges.split_key_space(1))
-        for key_range in range_table.ranges:
-            key_range.holder = 'u0'
-            key_range.served = True
-        self.cache.ownership = ownership.Ownership(
-            table_by_service={'s': range_table}
-        )
+        gateway_fixtures.own_all_keys(self.cache, 'u0')
         self.revision_by_topic = collections.Counter[store_link.Topic]()
         self.announce()
 
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -16,7 +16,6 @@
 from lentilgauge.contracts import ownership
 from lentilgauge.links import http_client, store_link, upstream_link
 from lentilgauge.platform import headers, objects, upstream_adapter
-from lentilgauge.services import key_ranges
 from lentilgauge.upstreams import upstream_state
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import key_assignment
@@ -77,16 +76,7 @@
 
     def own_all_keys(self) -> None:
         """Make the service keyed, with all keys at u0."""
-        self.cache.configuration = gateway_fixtures.make_configuration(
-            keyed=True
-        )
-        range_table = key_ranges.make_table(key_ranges.split_key_space(1))
-        for key_range in range_table.ranges:
-            key_range.holder = 'u0'
-            key_range.served = True
-        self.cache.ownership = ownership.Ownership(
-            table_by_service={'s': range_table}
-        )
+        gateway_fixtures.own_all_keys(self.cache, 'u0')
 
     def make_request(self, key: int | None) -> gateway_request.Request:
         """Make a request that isn't idempotent."""
