Order the new review cases by gravity and steady their scripts

The loss of most machines becomes case 6, the heads 7, the paths 8 and the readers 9. A script that is stopped from outside now ends its processes too.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10. They are Python: the project's own
+# Builds the stand-ins of the cases 6 to 9. They are Python: the project's own
 # are part of the deploy file's build, and these are compiled as a check.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -10,7 +10,9 @@
 import os
 import pathlib
 import random
+import resource
 import shlex
+import signal
 import socket
 import sys
 import tempfile
@@ -28,11 +30,14 @@
 )
 
 HOST = gateway_documents.HOST
+#: Descriptors of a small site's process, or what this machine gives one.
+SITE_FDS = 4100
+MAX_FDS = min(SITE_FDS, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
 MACHINE_LIMITS = {
     'cpuShare': 0.86,
     'cores': 1,
     'memoryMb': 300,
-    'maxFds': 4100,
+    'maxFds': MAX_FDS,
     'linkMbps': 1000.0,
     'diskMb': 0,
 }
@@ -304,3 +309,19 @@
     return await exchange(
         machine.address, machine.ready, request.encode(), timeout_s=1
     )
+
+
+def run(main):
+    """Run a case; return its result, or 2 if it is stopped from outside."""
+
+    async def run_until_stopped():
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        try:
+            return await main()
+        except asyncio.CancelledError:
+            return 2
+
+    return asyncio.run(run_until_stopped())
