Write the review cases' records line by line

Cause: record.txt was written at the end of a run alone, by the stand-ins, so that a run that was ended or couldn't start left none. A script that couldn't start exited with 1, as if the rule was broken.

Change: each line is written at once, run.sh names the file and begins it, and only a run that judged the rule exits with 0 or 1.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -68,23 +68,29 @@
 
 
 class Record:
-    """Lines of what was sent, answered and run, written at the end."""
+    """Lines of what was sent, answered and run, in the case's `record.txt`.
+
+    Each line is written at once, so that a run that is ended leaves its own.
+    """
 
     def __init__(self, folder):
-        self.path = pathlib.Path(folder) / 'record.txt'
+        # `run.sh` has emptied it, and lets errors be added.
+        self.file = (pathlib.Path(folder) / 'record.txt').open(
+            'a', encoding='utf-8'
+        )
         self.started = time.monotonic()
-        self.lines = []
+        self.add('the run begins')
 
     def now(self):
         return time.monotonic() - self.started
 
     def add(self, text):
         line = f'{self.now():8.3f} {text}'
-        self.lines.append(line)
         print(line, flush=True)
+        print(line, file=self.file, flush=True)
 
     def close(self):
-        self.path.write_text('\n'.join(self.lines) + '\n', encoding='utf-8')
+        self.file.close()
 
 
 def _pick_network():
@@ -311,8 +317,13 @@
     )
 
 
+#: Result of a run in which the rule was broken. `run.sh` makes it 1, which is
+#: also Python's for an error.
+BROKEN = 10
+
+
 def run(main):
-    """Run a case; return its result, or 2 if it is stopped from outside."""
+    """Run a case; return 0, `BROKEN`, or 2 if it couldn't run to its end."""
 
     async def run_until_stopped():
         task = asyncio.current_task()
@@ -320,8 +331,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, task.cancel)
         try:
-            return await main()
+            result = await main()
         except asyncio.CancelledError:
             return 2
+        return BROKEN if result == 1 else result
 
     return asyncio.run(run_until_stopped())
