Route requests in a time that the path doesn't decide

Cause: find_route looked up the path's prefix at each of its slashes.

Change: the search begins at the length of the configuration's longest prefix, since no longer prefix can match. What a caller sends behind it no longer matters.

--- a/src/lentilgauge/services/routes.py
+++ b/src/lentilgauge/services/routes.py
@@ -56,7 +56,8 @@
     """One version of the operators' configuration.
 
     Without a `directory` the deployment has no workspaces, and no request needs
-    an API key.
+    an API key. `longest_prefix` is the length of the longest of the routes'
+    prefixes.
     """
 
     version: int
@@ -67,6 +68,15 @@
     max_body_bytes: int
     max_header_bytes: int
     directory: workspaces.Directory | None = None
+    longest_prefix: int = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Derive the length of the longest prefix."""
+        longest = max(
+            (len(prefix) for _, prefix in self.route_by_host_and_prefix),
+            default=0,
+        )
+        object.__setattr__(self, 'longest_prefix', longest)
 
 
 #: Accumulated weight of each service in a route's weighted round robin.
@@ -89,9 +99,10 @@
 ) -> Route | None:
     """Find the host's route with the longest matching path prefix.
 
-    Only prefixes that end with a slash can match.
+    Only prefixes that end with a slash can match. The time depends on the
+    longest prefix, not on the path: callers may send paths of many slashes.
     """
-    end = path.rfind('/') + 1
+    end = path.rfind('/', 0, configuration.longest_prefix) + 1
     while end > 0:
         route = configuration.route_by_host_and_prefix.get((host, path[:end]))
         if route is not None:
