Count connections and parsed heads as memory of callers

Cause: the account of callers' memory counted bodies and replies only. Such a head takes 608 kB once it is parsed (222 bytes a header), and 290 kB more as lines and as curl's copy. And all heads that had arrived were parsed in one round of the event loop, before any of their requests was refused.

Change: a connection counts from its accept, and a request from its head on, by lines and characters, until the next one on its connection. What doesn't fit is refused as not run with 503. Connections have a part of the budget of their own, so that a full process still refuses with an answer. Incomplete requests, and complete ones that were sent to no upstream, make way for smaller claims, the largest first; one that was sent never does. Long heads wait for turns at the event loop, so that one at a time exists parsed before it is counted. The HTTP library's limit on heads follows the configuration.

Evidence: two crowds of 600 such heads at a process with 120 MB, with and without bodies.

--- a/src/lentilgauge/callers/answers.py
+++ b/src/lentilgauge/callers/answers.py
@@ -9,6 +9,7 @@
 from lentilgauge.callers import (
     answer_heads,
     connection_limits,
+    connection_memory,
     gateway_request,
     memory_account,
 )
@@ -35,6 +36,13 @@
 _LINGER_S = 2
 #: Stalled uploads are dropped after a second, so memory may be free by then.
 _MEMORY_RETRY_MS = 1000
+#: A request of which nothing has been sent to an upstream, so that it hasn't
+#: run.
+MEMORY_FAILURE = errors.Failure(
+    kind=errors.ErrorKind.MEMORY_SHORT,
+    detail='this gateway has no memory for the request at present',
+    retry_after_ms=_MEMORY_RETRY_MS,
+)
 
 
 def _record_metrics(exchange: exchange_module.Exchange, outcome: str) -> None:
@@ -164,7 +172,8 @@
         return
     body = answer_heads.set_length(exchange.start_line, headers, body)
     is_early = exchange.stage is exchange_module.Stage.RECEIVING
-    if is_early or exchange.gateway.draining:
+    is_dropped = exchange.stage is exchange_module.Stage.DROPPED
+    if is_early or is_dropped or exchange.gateway.draining:
         headers['Connection'] = 'close'
         connection_limits.mark_ending(
             exchange.gateway.connections, exchange.connection.stream
@@ -190,6 +199,8 @@
         return
     exchange.written = connection.write_headers(start_line, headers, body)
     connection.finish()
+    if is_dropped:
+        exchange.written.add_done_callback(lambda _: connection.close())
     if not exchange.written.done():
         holding = _hold_reply(exchange, len(body))
         exchange.written.add_done_callback(
@@ -200,9 +211,12 @@
 def _linger(exchange: exchange_module.Exchange) -> None:
     """Discard the rest of a refused body for some time, then close.
 
-    A caller that waits for permission to send its body sends none.
+    A caller that waits for permission to send its body sends none. A long head
+    isn't kept for that time.
     """
-    if 'Expect' in exchange.headers:
+    head_bytes = connection_memory.estimate_bytes(exchange.headers)
+    is_long = head_bytes > memory_account.SMALL_BYTES
+    if is_long or 'Expect' in exchange.headers:
         exchange.connection.finish()
         return
     asyncio.get_running_loop().call_later(_LINGER_S, _end_linger, exchange)
@@ -280,21 +294,30 @@
 
 
 def refuse_upload(exchange: exchange_module.Exchange) -> None:
-    """Refuse a request for lack of memory before its body has arrived.
+    """Refuse a request for lack of memory before it has arrived.
 
     It is also called for uploads that are dropped for others.
     """
     if exchange.stage is not exchange_module.Stage.RECEIVING:
         return
     exchange.gateway.metrics.count('memory_closed', memory_account.Kind.UPLOADS)
-    answer_failure(
-        exchange,
-        errors.Failure(
-            kind=errors.ErrorKind.MEMORY_SHORT,
-            detail='this gateway has no memory for the body at present',
-        ),
-        _MEMORY_RETRY_MS,
+    answer_failure(exchange, MEMORY_FAILURE, MEMORY_FAILURE.retry_after_ms)
+
+
+def drop_request(exchange: exchange_module.Exchange) -> None:
+    """Refuse a request whose memory is needed for others.
+
+    Its body is incomplete, or it waits and has been sent to no upstream.
+    """
+    if exchange.task is None:
+        refuse_upload(exchange)
+    if exchange.task is None or not exchange_module.is_unsent(exchange):
+        return
+    exchange.gateway.metrics.count(
+        'memory_closed', memory_account.Kind.REQUESTS
     )
+    exchange.stage = exchange_module.Stage.DROPPED
+    exchange.task.cancel()
 
 
 async def wait_until_written(exchange: exchange_module.Exchange) -> None:
--- a/src/lentilgauge/callers/body_intake.py
+++ b/src/lentilgauge/callers/body_intake.py
@@ -60,11 +60,13 @@
     now_ms: clock.Clock,
     max_bytes: int,
     drop: Callable[[], None],
+    is_unsent: Callable[[], bool] = bool,
 ) -> Intake | None:
     """Begin to receive a body; `None` if there is no memory for it.
 
-    `drop` has to end the upload; it is called when the memory is needed for
-    others. A body over `max_bytes` isn't counted, as it is rejected.
+    `drop` has to end its request; it is called when the memory is needed for
+    others, before the body is complete or while `is_unsent` returns true. A
+    body over `max_bytes` isn't counted, as it is rejected.
     """
     length = _parse_length(headers)
     if length > max_bytes:
@@ -78,6 +80,7 @@
         held_bytes=length,
         moved_ms=started_ms,
         drop=drop,
+        is_unsent=is_unsent,
     )
     memory_account.hold(account, holding)
     return Intake(account=account, now_ms=now_ms, holding=holding)
@@ -104,14 +107,18 @@
 def _count_more(intake: Intake, added_bytes: int) -> bool:
     """Count further bytes of a body without an announced length."""
     holding = intake.holding
+    account = intake.account
     now_ms = intake.now_ms()
     # A transfer that makes progress isn't dropped for its own chunk.
     holding.moved_ms = now_ms
-    claim = memory_account.classify_upload(holding.held_bytes + added_bytes)
-    if not memory_account.make_room(intake.account, claim, added_bytes, now_ms):
-        return False
-    memory_account.grow(intake.account, holding, added_bytes)
-    return True
+    memory_account.release(account, holding)
+    wanted_bytes = holding.held_bytes + added_bytes
+    claim = memory_account.classify_upload(wanted_bytes)
+    has_room = memory_account.make_room(account, claim, wanted_bytes, now_ms)
+    memory_account.hold(account, holding)
+    if has_room:
+        memory_account.grow(account, holding, added_bytes)
+    return has_room
 
 
 def complete(intake: Intake) -> None:
--- a/src/lentilgauge/callers/caller_server.py
+++ b/src/lentilgauge/callers/caller_server.py
@@ -17,7 +17,14 @@
     netutil,
 )
 
-from lentilgauge.callers import connection_limits
+from lentilgauge import clock
+from lentilgauge.callers import caller_stream as caller_stream_module
+from lentilgauge.callers import (
+    connection_limits,
+    connection_memory,
+    loop_turns,
+    memory_account,
+)
 
 _BACKLOG = 2048
 #: Sizes of the buffers of a connection in the kernel, where bytes that aren't
@@ -78,16 +85,42 @@
     io_loop.call_later(_PAUSE_S, resume)
 
 
+def _join_limits(
+    connections: connection_limits.Connections,
+    account: memory_account.Account,
+    now_ms: clock.Clock,
+) -> None:
+    """Let connections make way for memory."""
+    account.count_idle = functools.partial(
+        connection_limits.count_idle, connections
+    )
+    account.close_idle = functools.partial(
+        connection_limits.close_idle, connections
+    )
+    connections.release = functools.partial(
+        connection_memory.close_connection, account
+    )
+
+
 class CallerServer(httpserver.HTTPServer):
-    """HTTP server that counts its connections and closes what is too much."""
+    """HTTP server that counts its connections and closes what is too much.
+
+    The memory of a connection counts in `account` from its accept to its end.
+    """
+
+    turns: loop_turns.Turns
 
     connections: connection_limits.Connections
+    account: memory_account.Account
+    now_ms: clock.Clock
 
     @classmethod
     def make(
         cls,
         delegate: httputil.HTTPServerConnectionDelegate,
         connections: connection_limits.Connections,
+        account: memory_account.Account,
+        now_ms: clock.Clock,
         *,
         max_body_size: int,
         max_header_size: int,
@@ -101,16 +134,25 @@
             idle_connection_timeout=idle_seconds,
         )
         server.connections = connections
+        server.account = account
+        server.now_ms = now_ms
+        server.turns = loop_turns.Turns()
+        _join_limits(connections, account, now_ms)
         return server
 
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[object, ...]
     ) -> None:
         """Serve a connection that was accepted, or close it."""
-        if connection_limits.open_connection(self.connections, stream):
-            super().handle_stream(stream, address)
+        caller_stream = caller_stream_module.CallerStream(
+            stream.socket,
+            turns=self.turns,
+            read_chunk_size=self.read_chunk_size,
+        )
+        if self._may_open(caller_stream):
+            super().handle_stream(caller_stream, address)
         else:
-            stream.close()
+            caller_stream.close()
 
     def on_close(self, server_conn: object) -> None:
         """Count a connection that has ended no longer."""
@@ -120,6 +162,14 @@
             )
         super().on_close(server_conn)
 
+    def _may_open(self, stream: iostream.IOStream) -> bool:
+        if not connection_memory.open_connection(self.account, self.now_ms()):
+            return False
+        if connection_limits.open_connection(self.connections, stream):
+            return True
+        connection_memory.close_connection(self.account, stream)
+        return False
+
 
 def listen(
     server: CallerServer, *, address: str, port: int, limits_buffers: bool
--- /dev/null
+++ b/src/lentilgauge/callers/caller_stream.py
@@ -0,0 +1,95 @@
+"""Connection of a caller, whose long work is done in turns."""
+
+import asyncio
+import functools
+import socket
+from collections.abc import Awaitable
+
+from tornado import iostream
+
+from lentilgauge.callers import loop_turns
+
+#: A head with more lines or bytes is long.
+_SHORT_HEAD_LINES = 64
+_SHORT_HEAD_BYTES = 8192
+
+
+class CallerStream(iostream.IOStream):
+    """Connection whose long heads wait for their turns."""
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        *,
+        turns: loop_turns.Turns,
+        read_chunk_size: int | None,
+    ) -> None:
+        """Initialise the stream of an accepted connection."""
+        super().__init__(connection, read_chunk_size=read_chunk_size)
+        self.turns = turns
+
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Read a head; a long one is returned when its turn has come."""
+        read = asyncio.ensure_future(super().read_until_regex(regex, max_bytes))
+        passed: asyncio.Future[bytes] = asyncio.Future()
+        if read.done():
+            self._pass_head(passed, read)
+        else:
+            read.add_done_callback(functools.partial(self._pass_head, passed))
+        return passed
+
+    def _pass_head(
+        self, passed: asyncio.Future[bytes], read: asyncio.Future[bytes]
+    ) -> None:
+        if _failed(read) or _is_short(read.result()):
+            _copy_outcome(passed, read)
+            return
+        loop_turns.request_turn(
+            self.turns,
+            loop_turns.Turn(
+                units=loop_turns.HEAD_UNITS,
+                take=functools.partial(self._pass_long_head, passed, read),
+            ),
+        )
+
+    def _pass_long_head(
+        self, passed: asyncio.Future[bytes], read: asyncio.Future[bytes]
+    ) -> None:
+        if not self.closed():
+            _copy_outcome(passed, read)
+        elif not passed.done():
+            passed.set_exception(
+                iostream.StreamClosedError(real_error=self.error)
+            )
+            # The HTTP library may have stopped waiting for it.
+            passed.exception()
+
+
+def _is_short(head: bytes) -> bool:
+    return (
+        len(head) <= _SHORT_HEAD_BYTES
+        and head.count(b'\n') <= _SHORT_HEAD_LINES
+    )
+
+
+def _failed(read: asyncio.Future[bytes]) -> bool:
+    return read.cancelled() or read.exception() is not None
+
+
+def _copy_outcome(
+    passed: asyncio.Future[bytes], read: asyncio.Future[bytes]
+) -> None:
+    if passed.done():
+        return
+    if read.cancelled():
+        passed.cancel()
+        return
+    error = read.exception()
+    if error is None:
+        passed.set_result(read.result())
+    else:
+        passed.set_exception(error)
+        # The HTTP library may have stopped waiting for it.
+        passed.exception()
--- a/src/lentilgauge/callers/connection_limits.py
+++ b/src/lentilgauge/callers/connection_limits.py
@@ -29,10 +29,12 @@
     with the one that moved least recently. All others are being served. On
     those that are `ending`, an answer announced that it is the last.
     `report_eviction` is called when a connection is closed for the limit.
+    `release` is called once for each connection that was counted.
     """
 
     limit: int = 0
     report_eviction: Callable[[], None] = lambda: None
+    release: Callable[[iostream.BaseIOStream], None] = lambda _: None
     open_streams: set[iostream.BaseIOStream] = dataclasses.field(
         default_factory=set
     )
@@ -67,17 +69,33 @@
     return None
 
 
-def evict(connections: Connections) -> bool:
-    """Close a connection for others; return whether there was one."""
-    connections.report_eviction()
+def count_idle(connections: Connections) -> int:
+    """Count the connections that may be closed for others."""
+    return len(connections.incomplete) + len(connections.kept)
+
+
+def close_idle(connections: Connections) -> bool:
+    """Close a connection that serves no request; return whether there is one.
+
+    It is the one that `choose_evicted` returns.
+    """
     evicted = choose_evicted(connections)
     if evicted is None:
         return False
+    connections.report_eviction()
     close_connection(connections, evicted)
     evicted.close()
     return True
 
 
+def evict(connections: Connections) -> bool:
+    """Close a connection for others; return whether there was one."""
+    if close_idle(connections):
+        return True
+    connections.report_eviction()
+    return False
+
+
 def open_connection(
     connections: Connections, stream: iostream.BaseIOStream
 ) -> bool:
@@ -99,7 +117,9 @@
     connections: Connections, stream: iostream.BaseIOStream
 ) -> None:
     """Count a connection no longer; it may have been closed before."""
-    connections.open_streams.discard(stream)
+    if stream in connections.open_streams:
+        connections.open_streams.discard(stream)
+        connections.release(stream)
     connections.ending.discard(stream)
     connections.incomplete.pop(stream, None)
     connections.kept.pop(stream, None)
--- a/src/lentilgauge/callers/exchange.py
+++ b/src/lentilgauge/callers/exchange.py
@@ -30,16 +30,18 @@
 class Stage(enum.IntEnum):
     """How far an exchange is.
 
-    From `REFUSED` on it is answered, or can't be any more: `REFUSED` before its
-    request arrived completely, `WRITING` after that. `GONE` means that the
-    caller has disconnected.
+    `DROPPED` means that its request is about to be refused for lack of memory,
+    while it waited for an upstream. From `REFUSED` on it is answered, or can't
+    be any more: `REFUSED` before its request arrived completely, `WRITING`
+    after that. `GONE` means that the caller has disconnected.
     """
 
     RECEIVING = 0
-    SERVING = 1
-    REFUSED = 2
-    WRITING = 3
-    GONE = 4
+    DROPPED = 1
+    SERVING = 2
+    REFUSED = 3
+    WRITING = 4
+    GONE = 5
 
 
 class Exchange(httputil.HTTPMessageDelegate):
@@ -72,6 +74,18 @@
         self.written: asyncio.Future[None] | None = None
 
 
+def is_unsent(exchange: Exchange) -> bool:
+    """Return whether a request has been sent to no upstream."""
+    match exchange.stage:
+        case Stage.RECEIVING:
+            return True
+        case Stage.SERVING:
+            request = exchange.request
+            return request is None or not request.attempts
+        case _:
+            return False
+
+
 def end_intake(exchange: Exchange) -> None:
     """Free a request's body, and count it no longer."""
     if exchange.intake is not None:
--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -8,16 +8,20 @@
 from returns import result
 from tornado import http1connection, httpserver, httputil
 
-from lentilgauge import clock, errors, events
+from lentilgauge import errors, events
 from lentilgauge.callers import (
     account_metrics,
     answers,
     authentication,
     body_intake,
     caller_server,
+    configured_limits,
     connection_limits,
+    connection_memory,
     forwarding,
     gateway_request,
+    memory_account,
+    reception,
 )
 from lentilgauge.callers import exchange as exchange_module
 from lentilgauge.links import upstream_data
@@ -25,19 +29,27 @@
 from lentilgauge.vms import gateway as gateway_module
 
 _MAX_BODY_BYTES = 67_108_864
+#: While no configuration is known.
 _MAX_HEADER_BYTES = 65_536
+#: The HTTP library's limit on heads relative to the configured one, which may
+#: be understood without the request line.
+_HEADER_LIMIT_FACTOR = 2
 _MAX_NUMBER_DIGITS = 9
-#: Idle connections stay open for at least this long.
-_MIN_IDLE_SECONDS = 30
-#: The server's idle timeout relative to the one configured for callers. The
-#: server's is longer, so that callers close first and no request is sent on a
-#: connection that is being closed.
-_IDLE_TIMEOUT_FACTOR = 1.25
 #: `Retry-After` delay while no configuration is known; a process that has just
 #: started receives one within about this time.
 _UNREADY_RETRY_MS = 250
 
 
+def make_receiver(gateway: gateway_module.Gateway) -> reception.Receiver:
+    """Make the receiver of a gateway's requests."""
+    return reception.Receiver(
+        account=gateway.account,
+        connections=gateway.connections,
+        now_ms=gateway.now_ms,
+        max_body_bytes=_MAX_BODY_BYTES,
+    )
+
+
 class ServedExchange(exchange_module.Exchange):
     """Exchange whose request is served once it has arrived completely."""
 
@@ -49,7 +61,7 @@
         """Store the request line and headers, and restart the timing.
 
         The HTTP library creates the exchange as soon as the connection is
-        idle, which may be long before its request arrives. A body for which
+        idle, which may be long before its request arrives. A request for which
         there is no memory is refused here.
         """
         self.arrived_ms = self.gateway.now_ms()
@@ -57,17 +69,26 @@
         if isinstance(start_line, httputil.RequestStartLine):
             self.start_line = start_line
         self.headers = headers
-        if body_intake.has_body(headers):
-            self._begin_body()
+        received = reception.begin(
+            make_receiver(self.gateway),
+            self.connection.stream,
+            headers,
+            drop=lambda: answers.drop_request(self),
+            is_unsent=lambda: exchange_module.is_unsent(self),
+        )
+        self.intake = received.intake
+        if not received.has_room:
+            answers.refuse_upload(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Add a chunk of the body, unless the request was refused."""
-        connection_limits.mark_moved(
-            self.gateway.connections, self.connection.stream
+        has_room = reception.add_chunk(
+            self.gateway.connections,
+            self.connection.stream,
+            self.intake,
+            chunk,
         )
-        if self.intake is None:
-            return
-        if not body_intake.add_chunk(self.intake, chunk):
+        if not has_room:
             answers.refuse_upload(self)
 
     def finish(self) -> None:
@@ -106,20 +127,6 @@
         else:
             self.task.cancel()
 
-    def _begin_body(self) -> None:
-        connection_limits.mark_moved(
-            self.gateway.connections, self.connection.stream
-        )
-        self.intake = body_intake.begin(
-            self.headers,
-            account=self.gateway.account,
-            now_ms=self.gateway.now_ms,
-            max_bytes=_MAX_BODY_BYTES,
-            drop=lambda: answers.refuse_upload(self),
-        )
-        if self.intake is None:
-            answers.refuse_upload(self)
-
 
 class ExchangeFactory(httputil.HTTPServerConnectionDelegate):
     """Factory of an exchange for each request on a connection."""
@@ -142,6 +149,7 @@
         """Create the exchange for a connection's next request."""
         connection = typing.cast(http1connection.HTTP1Connection, request_conn)
         connection_limits.mark_kept(self.gateway.connections, connection.stream)
+        connection_memory.end_request(self.gateway.account, connection.stream)
         return ServedExchange(
             gateway=self.gateway, dialect=self.dialect, connection=connection
         )
@@ -149,6 +157,7 @@
 
 async def _serve(exchange: exchange_module.Exchange) -> None:
     gateway = exchange.gateway
+    head = gateway.account.head_by_stream.get(exchange.connection.stream)
     gateway.in_flight += 1
     try:
         await _serve_request(exchange)
@@ -158,7 +167,8 @@
             answers.log_answer(exchange, events.Event.REQUEST_LEFT)
         if exchange.stage > exchange_module.Stage.SERVING:
             return
-        answers.answer_failure(exchange, _describe_abort(exchange))
+        failure = _describe_abort(exchange)
+        answers.answer_failure(exchange, failure, failure.retry_after_ms)
     except Exception:
         # Without an answer the caller would wait until its timeout.
         loguru.logger.exception('unhandled error while serving a request')
@@ -171,15 +181,19 @@
         )
     finally:
         exchange_module.end_intake(exchange)
+        if head is not None:
+            memory_account.release(gateway.account, head)
         gateway.in_flight -= 1
 
 
 def _describe_abort(exchange: exchange_module.Exchange) -> errors.Failure:
-    """Describe why a request ends with the process.
+    """Describe why a request ends with the process, or for lack of memory.
 
     One that still waits for an upstream hasn't run, so its caller may retry.
     """
     request = exchange.request
+    if exchange.stage is exchange_module.Stage.DROPPED:
+        return answers.MEMORY_FAILURE
     if request is None or not request.attempts:
         return errors.Failure(
             kind=errors.ErrorKind.LEAVING,
@@ -333,25 +347,6 @@
     return None
 
 
-def _register_idle_timeout_update(
-    gateway: gateway_module.Gateway,
-    server: httpserver.HTTPServer,
-) -> None:
-    """Update the server's idle timeout whenever a configuration is adopted."""
-
-    def update_idle_timeout() -> None:
-        configuration = gateway.state_cache.configuration
-        if configuration is None:
-            return
-        idle_seconds = clock.to_seconds(configuration.idle_timeout_ms)
-        server.conn_params.header_timeout = max(
-            idle_seconds * _IDLE_TIMEOUT_FACTOR,
-            _MIN_IDLE_SECONDS,
-        )
-
-    gateway.state_cache.change_listeners.append(update_idle_timeout)
-
-
 def _report_eviction(gateway: gateway_module.Gateway) -> None:
     """Count and log a connection that is closed for a new one."""
     gateway.metrics.count('caller_connections_evicted')
@@ -371,11 +366,13 @@
     server = caller_server.CallerServer.make(
         ExchangeFactory(gateway=gateway, dialect=dialect),
         gateway.connections,
+        gateway.account,
+        gateway.now_ms,
         max_body_size=_MAX_BODY_BYTES,
         max_header_size=_MAX_HEADER_BYTES,
-        idle_seconds=_MIN_IDLE_SECONDS,
+        idle_seconds=configured_limits.MIN_IDLE_SECONDS,
     )
-    _register_idle_timeout_update(gateway, server)
+    configured_limits.follow_configuration(gateway, server)
     account_metrics.add_gauges(
         gateway.metrics, gateway.account, gateway.connections
     )
--- /dev/null
+++ b/src/lentilgauge/callers/loop_turns.py
@@ -0,0 +1,52 @@
+"""Turns at the event loop for work of callers that takes long.
+
+Parsing a long head takes the loop for as long as many ordinary requests. Such
+work is done in turns, a bounded part of it in each round of the loop, so that
+everything else goes on between them.
+"""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable
+
+#: Units of work in one round of the loop. A round takes some milliseconds more
+#: then, and an ordinary request some ten rounds.
+UNITS_PER_ROUND = 16
+#: Parsing a head of 16 KiB of short headers takes 6 ms.
+HEAD_UNITS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Turn:
+    """Work that waits for its turn; `take` begins it."""
+
+    units: int
+    take: Callable[[], None]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Turns:
+    """Work that waits, the first to come first."""
+
+    waiting: collections.deque[Turn] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+def request_turn(turns: Turns, turn: Turn) -> None:
+    """Let work wait for its turn, which comes in a later round of the loop."""
+    turns.waiting.append(turn)
+    if len(turns.waiting) == 1:
+        asyncio.get_running_loop().call_soon(_grant_turns, turns)
+
+
+def _grant_turns(turns: Turns) -> None:
+    """Begin as much of the work as fits in one round of the loop."""
+    units = 0
+    while turns.waiting:
+        units += turns.waiting[0].units
+        if units > UNITS_PER_ROUND:
+            asyncio.get_running_loop().call_soon(_grant_turns, turns)
+            break
+        turns.waiting.popleft().take()
--- a/src/lentilgauge/callers/memory_account.py
+++ b/src/lentilgauge/callers/memory_account.py
@@ -1,33 +1,37 @@
 """Account of the memory that callers make one process hold.
 
 Callers that nobody controls may send many large bodies at once, leave them
-unfinished, or not read their answers. The account counts what is held for them
-and decides what is refused or dropped, so that the process stays within the
-memory of its VM. The functions get all figures as arguments.
+unfinished, send heads that take far more memory once they are parsed, or not
+read their answers. The account counts what is held for them, from the moment at
+which a connection is accepted, and decides what is refused or dropped, so that
+the process stays within the memory of its VM. The functions get all figures as
+arguments.
 """
 
 import dataclasses
 import enum
+import sys
 import types
 from collections.abc import Callable
 
+from tornado import iostream
+
 #: Bodies and replies up to this size are ordinary: they may use the reserve.
 #: The largest usual ones have about 1 MB.
 ORDINARY_BYTES = 1_048_576
+#: What is held for one request without a long head or body stays below this.
+SMALL_BYTES = 65_536
 #: Replies up to this size are always received: those to the granter's orders
 #: and to renewals are smaller, and no process may lose its role for lack of a
 #: few kilobytes.
 _SMALL_REPLY_BYTES = 65_536
 _BYTES_PER_MB = 1_000_000
-#: Memory that the process needs for itself, with connections and their
-#: buffers. A gateway with three upstreams and 117 descriptors has 45 MB
-#: resident.
+#: Memory that the process needs for itself, with unusable gaps in the heap. A
+#: gateway with three upstreams and 117 descriptors has 45 MB resident.
 _PROCESS_BYTES = 72_000_000
-#: The part of the budget that large bodies and replies leave to ordinary ones.
-_RESERVE_DIVISOR = 6
-#: The part of the budget that all bodies leave to replies, so that requests in
-#: flight can be answered and the store and peers be read.
-_REPLY_RESERVE_DIVISOR = 24
+#: An open connection: its objects, and what the HTTP library and the kernel may
+#: have received for it while nothing is read.
+CONNECTION_BYTES = 57_344
 #: A transfer that moved fewer bytes than this within its kind's time has
 #: stalled: a caller with the slowest link of the platform, 5 Mbit/s, sends
 #: 600,000 bytes in a second.
@@ -37,11 +41,13 @@
 class Kind(enum.StrEnum):
     """What bytes are held for.
 
-    `UPLOADS` are bodies being received, `REQUESTS` complete bodies whose
-    requests aren't answered yet, and `REPLIES` replies being received from
-    upstreams or written to callers.
+    `HEADS` are requests without their bodies, until their answers are written,
+    `UPLOADS` bodies being received, `REQUESTS` complete bodies whose requests
+    aren't answered yet, and `REPLIES` replies being received from upstreams or
+    written to callers.
     """
 
+    HEADS = 'heads'
     UPLOADS = 'uploads'
     REQUESTS = 'requests'
     REPLIES = 'replies'
@@ -54,8 +60,13 @@
 
 
 class Claim(enum.StrEnum):
-    """What memory is wanted for; `LARGE` is over `ORDINARY_BYTES`."""
+    """What memory is wanted for.
+
+    `LARGE` is over `ORDINARY_BYTES`, and `SMALL` a head or a body of up to
+    `SMALL_BYTES`.
+    """
 
+    SMALL = 'small'
     LARGE_UPLOAD = 'large_upload'
     UPLOAD = 'upload'
     LARGE_REPLY = 'large_reply'
@@ -67,7 +78,9 @@
     """Bytes that one transfer holds.
 
     `moved_ms` is when it last made progress, and `unmarked_bytes` what it moved
-    since. `drop` ends the transfer, which frees its memory.
+    since. `drop` ends the transfer, which frees its memory. `is_unsent` returns
+    whether its request has been sent to no upstream yet, so that it can be
+    refused as not run; `bool` says no.
     """
 
     kind: Kind
@@ -75,6 +88,7 @@
     moved_ms: int
     drop: Callable[[], None]
     unmarked_bytes: int = 0
+    is_unsent: Callable[[], bool] = bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -82,7 +96,10 @@
     """Bytes that one process holds for callers.
 
     `memory_bytes` is the memory of the VM, and `limit_bytes` the budget for
-    callers. With 0 the bytes are counted and never limited.
+    callers. With 0 the bytes are counted and never limited. `connection_bytes`
+    is what open connections take, and `head_by_stream` counts the requests on
+    them. `count_idle` returns how many connections serve no request, and
+    `close_idle` closes one of them; `int` and `bool` stand for none.
     """
 
     memory_bytes: int = 0
@@ -91,6 +108,40 @@
         default_factory=lambda: dict.fromkeys(Kind, 0)
     )
     holdings: set[Holding] = dataclasses.field(default_factory=set)
+    connection_bytes: int = 0
+    head_by_stream: dict[iostream.BaseIOStream, Holding] = dataclasses.field(
+        default_factory=dict
+    )
+    count_idle: Callable[[], int] = int
+    close_idle: Callable[[], bool] = bool
+
+
+#: The part of the budget that connections can always have, as its divisor. So a
+#: caller isn't kept from a refusal by requests and replies that fill the rest.
+CONNECTIONS_DIVISOR = 10
+#: The part of the budget that each claim leaves to the others, as its divisor.
+#: Replies may fill the budget, so that requests in flight can be answered and
+#: the store and peers be read.
+_RESERVE_DIVISOR_BY_CLAIM = types.MappingProxyType(
+    {
+        Claim.LARGE_UPLOAD: 12,
+        Claim.LARGE_REPLY: 12,
+        Claim.UPLOAD: 16,
+        Claim.SMALL: 24,
+        Claim.REPLY: sys.maxsize,
+    }
+)
+#: What each claim may displace, if it is larger than this number of bytes and
+#: unfinished. A large upload displaces only what has stalled.
+_SMALLEST_DISPLACED_BY_CLAIM = types.MappingProxyType(
+    {
+        Claim.LARGE_UPLOAD: sys.maxsize,
+        Claim.SMALL: 0,
+        Claim.UPLOAD: ORDINARY_BYTES,
+        Claim.REPLY: ORDINARY_BYTES,
+        Claim.LARGE_REPLY: ORDINARY_BYTES,
+    }
+)
 
 
 def make_account(memory_mb: int) -> Account:
@@ -107,22 +158,13 @@
     )
 
 
-def classify_upload(body_bytes: int) -> Claim:
-    """Return what a body of some size claims."""
-    if body_bytes > ORDINARY_BYTES:
+def classify_upload(request_bytes: int) -> Claim:
+    """Return what a request of some size, with its body, claims."""
+    if request_bytes > ORDINARY_BYTES:
         return Claim.LARGE_UPLOAD
-    return Claim.UPLOAD
-
-
-def _compute_ceiling(limit_bytes: int, claim: Claim) -> int:
-    """Return up to how many bytes a claim may fill the budget."""
-    match claim:
-        case Claim.REPLY:
-            return limit_bytes
-        case Claim.UPLOAD:
-            return limit_bytes - limit_bytes // _REPLY_RESERVE_DIVISOR
-        case _:
-            return limit_bytes - limit_bytes // _RESERVE_DIVISOR
+    if request_bytes > SMALL_BYTES:
+        return Claim.UPLOAD
+    return Claim.SMALL
 
 
 def is_stalled(holding: Holding, now_ms: int) -> bool:
@@ -131,45 +173,62 @@
     return stall_ms is not None and now_ms - holding.moved_ms >= stall_ms
 
 
-def _may_displace(claim: Claim, holding: Holding, now_ms: int) -> bool:
-    if is_stalled(holding, now_ms):
-        return True
-    return (
-        claim is not Claim.LARGE_UPLOAD
-        and holding.kind is Kind.UPLOADS
-        and holding.held_bytes > ORDINARY_BYTES
-    )
+def is_unfinished(holding: Holding) -> bool:
+    """Return whether a request is incomplete, or has been sent nowhere."""
+    return holding.kind is Kind.UPLOADS or holding.is_unsent()
 
 
-def choose_drops(
-    account: Account, claim: Claim, wanted_bytes: int, now_ms: int
-) -> list[Holding] | None:
-    """Choose the transfers to drop for a claim, `None` if it can't be met.
+def compute_excess(account: Account, claim: Claim, wanted_bytes: int) -> int:
+    """Return by how many bytes a claim exceeds what it may fill."""
+    limit_bytes = account.limit_bytes
+    if not limit_bytes:
+        return 0
+    guaranteed_bytes = limit_bytes // CONNECTIONS_DIVISOR
+    held_bytes = (
+        sum(account.bytes_by_kind.values())
+        + max(account.connection_bytes, guaranteed_bytes)
+        + limit_bytes // _RESERVE_DIVISOR_BY_CLAIM[claim]
+    )
+    return max(held_bytes + wanted_bytes - limit_bytes, 0)
 
-    The load addressed is many bodies or unread answers at once: stalled uploads
-    are dropped first, then stalled readers, then large uploads, the largest
-    first. A large upload displaces only stalled transfers. Requests in flight
-    are never dropped, as they may have run.
-    """
-    held_bytes = sum(account.bytes_by_kind.values())
-    ceiling = _compute_ceiling(account.limit_bytes, claim)
-    excess_bytes = held_bytes + wanted_bytes - ceiling
-    if not account.limit_bytes or excess_bytes <= 0:
-        return []
-    candidates = sorted(
+
+def _list_candidates(
+    account: Account, claim: Claim, now_ms: int
+) -> list[Holding]:
+    """List the transfers that a claim may displace, the first to go first."""
+    smallest_bytes = _SMALLEST_DISPLACED_BY_CLAIM[claim]
+    return sorted(
         (
             holding
             for holding in account.holdings
-            if _may_displace(claim, holding, now_ms)
+            if is_stalled(holding, now_ms)
+            or (holding.held_bytes > smallest_bytes and is_unfinished(holding))
         ),
         key=lambda holding: (
             not is_stalled(holding, now_ms),
             holding.kind is Kind.REPLIES,
             -holding.held_bytes,
+            holding.moved_ms,
         ),
     )
+
+
+def choose_drops(
+    account: Account, claim: Claim, wanted_bytes: int, now_ms: int
+) -> list[Holding] | None:
+    """Choose the transfers to drop for a claim, `None` if it can't be met.
+
+    The load addressed is many requests or unread answers at once: stalled
+    uploads are dropped first, then stalled readers, then uploads and requests
+    that wait for an upstream, the largest first. A claim displaces only what is
+    larger than its own class, a large upload only stalled transfers. Requests
+    in flight are never dropped, as they may have run.
+    """
+    excess_bytes = compute_excess(account, claim, wanted_bytes)
     drops: list[Holding] = []
-    for candidate in candidates:
+    if not excess_bytes:
+        return drops
+    for candidate in _list_candidates(account, claim, now_ms):
         drops.append(candidate)
         excess_bytes -= candidate.held_bytes
         if excess_bytes <= 0:
@@ -180,16 +239,43 @@
 def make_room(
     account: Account, claim: Claim, wanted_bytes: int, now_ms: int
 ) -> bool:
-    """Drop what a claim displaces; return whether the claim can be met."""
+    """Drop what a claim displaces; return whether the claim can be met.
+
+    Connections without a request are closed if nothing else suffices.
+    """
     drops = choose_drops(account, claim, wanted_bytes, now_ms)
     if drops is None:
-        return False
+        if not _close_idle(account, claim, wanted_bytes, now_ms):
+            return False
+        drops = choose_drops(account, claim, wanted_bytes, now_ms) or []
     for holding in drops:
-        release(account, holding)
-        holding.drop()
+        drop(account, holding)
     return True
 
 
+def _close_idle(
+    account: Account, claim: Claim, wanted_bytes: int, now_ms: int
+) -> bool:
+    """Close the connections that a claim needs; return whether it can be met.
+
+    None is closed for a claim that can't.
+    """
+    missing_bytes = compute_excess(account, claim, wanted_bytes) - sum(
+        holding.held_bytes
+        for holding in _list_candidates(account, claim, now_ms)
+    )
+    needed = -(-missing_bytes // CONNECTION_BYTES)
+    if needed > account.count_idle():
+        return False
+    return all(account.close_idle() for _ in range(needed))
+
+
+def drop(account: Account, holding: Holding) -> None:
+    """End a transfer, and count it no longer."""
+    release(account, holding)
+    holding.drop()
+
+
 def hold(account: Account, holding: Holding) -> None:
     """Count a holding."""
     account.holdings.add(holding)
--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -16,9 +16,11 @@
     body_intake,
     caller_server,
     connection_limits,
+    connection_memory,
     idempotency,
     kinds,
     memory_account,
+    reception,
     request_checks,
 )
 from lentilgauge.callers import request as request_module
@@ -31,6 +33,16 @@
 _UNMATCHED_KIND = 'unmatched'
 
 
+def make_receiver(entry: entry_module.Entry) -> reception.Receiver:
+    """Make the receiver of an entry's requests."""
+    return reception.Receiver(
+        account=entry.account,
+        connections=entry.connections,
+        now_ms=entry.now_ms,
+        max_body_bytes=entry.section.body_limit_bytes,
+    )
+
+
 class Exchange(httputil.HTTPMessageDelegate):
     """One HTTP request and its answer, from the first header to the end.
 
@@ -75,19 +87,28 @@
         failure = request_checks.check_sizes(self.entry, headers)
         if failure is not None:
             answer_failure(self, failure)
-        elif body_intake.has_body(headers):
-            self._begin_body()
+            return
+        received = reception.begin(
+            make_receiver(self.entry),
+            self.connection.stream,
+            headers,
+            drop=lambda: refuse_upload(self),
+        )
+        self.intake = received.intake
+        if not received.has_room:
+            refuse_upload(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Add a chunk of the body, refusing a body over the size limit."""
-        connection_limits.mark_moved(
-            self.entry.connections, self.connection.stream
+        intake = None if self.answered else self.intake
+        has_room = reception.add_chunk(
+            self.entry.connections, self.connection.stream, intake, chunk
         )
-        if self.answered or self.intake is None:
-            return
-        if not body_intake.add_chunk(self.intake, chunk):
+        if not has_room:
             refuse_upload(self)
-        elif self.intake.received_bytes > self.entry.section.body_limit_bytes:
+        elif intake is not None and (
+            intake.received_bytes > self.entry.section.body_limit_bytes
+        ):
             answer_failure(self, request_checks.make_body_failure(self.entry))
 
     def finish(self) -> None:
@@ -114,20 +135,6 @@
             # The HTTP library may leave it pending.
             self.written.cancel()
 
-    def _begin_body(self) -> None:
-        connection_limits.mark_moved(
-            self.entry.connections, self.connection.stream
-        )
-        self.intake = body_intake.begin(
-            self.headers,
-            account=self.entry.account,
-            now_ms=self.entry.now_ms,
-            max_bytes=self.entry.section.body_limit_bytes,
-            drop=lambda: refuse_upload(self),
-        )
-        if self.intake is None:
-            refuse_upload(self)
-
 
 class ExchangeFactory(httputil.HTTPServerConnectionDelegate):
     """Factory of an exchange for each request on a connection."""
@@ -144,6 +151,7 @@
         """Create the exchange for a connection's next request."""
         connection = typing.cast(http1connection.HTTP1Connection, request_conn)
         connection_limits.mark_kept(self.entry.connections, connection.stream)
+        connection_memory.end_request(self.entry.account, connection.stream)
         return Exchange(entry=self.entry, connection=connection)
 
 
@@ -154,7 +162,7 @@
 
 
 def refuse_upload(exchange: Exchange) -> None:
-    """Refuse a request for lack of memory before its body has arrived.
+    """Refuse a request for lack of memory before it has arrived.
 
     It is also called for uploads that are dropped for others.
     """
@@ -165,7 +173,7 @@
         exchange,
         errors.Failure(
             kind=errors.ErrorKind.MEMORY_SHORT,
-            detail='this entry has no memory for the body at present',
+            detail='this entry has no memory for the request at present',
         ),
     )
 
@@ -367,6 +375,8 @@
     server = caller_server.CallerServer.make(
         ExchangeFactory(entry=entry),
         entry.connections,
+        entry.account,
+        entry.now_ms,
         max_body_size=section.body_limit_bytes * _LIBRARY_LIMIT_FACTOR,
         max_header_size=section.header_limit_bytes * _LIBRARY_LIMIT_FACTOR,
     )
--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,54 @@
+"""Tests that no shape of a crowd of callers ends or blocks a process.
+
+Each test starts a real process with low limits. While the crowd's connections
+are open, the process has to live, its memory and descriptors have to stay
+within the limits, and ordinary requests have to be answered.
+"""
+
+from tests import crowd_fixtures
+
+_LONG_HEADS_CROWD = 600
+#: Within the configuration's limit of 16 KiB.
+_HEAD_BYTES = 16_300
+_UNFINISHED_HEADS_CROWD = 1000
+
+
+class CrowdsTest(crowd_fixtures.CrowdTestCase):
+    """A gateway process with 120 MB."""
+
+    async def test_heads_of_many_short_headers(self) -> None:
+        """Guard against heads that take far more memory once parsed."""
+        self.upstream.finish_allowed.clear()
+        await self.crowd.send_all(
+            crowd_fixtures.make_long_head(
+                'GET', '/pool/x', number, size=_HEAD_BYTES
+            )
+            for number in range(_LONG_HEADS_CROWD)
+        )
+        await self.assert_survives()
+
+    async def test_heads_of_many_short_headers_before_bodies(self) -> None:
+        """Guard against such heads of requests whose bodies don't come."""
+        await self.crowd.send_all(
+            crowd_fixtures.make_long_head(
+                'POST',
+                '/pool/x',
+                number,
+                'Content-Length: 10',
+                size=_HEAD_BYTES,
+            )
+            for number in range(_LONG_HEADS_CROWD)
+        )
+        await self.assert_survives()
+
+    async def test_unfinished_heads(self) -> None:
+        """Guard against heads that stop short of their end."""
+        await self.crowd.send_all(
+            b'%sX-Long: %s'
+            % (
+                crowd_fixtures.make_head('GET', '/pool/x', number)[:-2],
+                b'x' * _HEAD_BYTES,
+            )
+            for number in range(_UNFINISHED_HEADS_CROWD)
+        )
+        await self.assert_survives()
