Close connections whose answers nobody reads for new ones

Cause: at the limit on connections one makes way for a new one only if it has no complete request or waits for its next. One whose answer is being written is neither, for however long its caller doesn't read; nothing but a lack of memory ended that.

Change: if no such connection is left, the one goes whose answer has stood unread for longest, from 3 s on. If there is none either, a request that was sent to no upstream is refused as not run, and its connection closed; the one that has waited for longest goes. A request that may have run is still never cut off before its answer is there.

Evidence: a crowd of 120 clients that pipeline requests and read nothing, at a process with 80 connections for callers.

--- a/src/lentilgauge/callers/answers.py
+++ b/src/lentilgauge/callers/answers.py
@@ -247,7 +247,9 @@
     def close_connection() -> None:
         gateway.metrics.count('memory_closed', memory_account.Kind.REPLIES)
         log_answer(exchange, events.Event.READER_DROPPED)
-        exchange.connection.stream.close()
+        stream = exchange.connection.stream
+        connection_limits.close_connection(gateway.connections, stream)
+        stream.close()
 
     holding = memory_account.Holding(
         kind=memory_account.Kind.REPLIES,
--- a/src/lentilgauge/callers/caller_server.py
+++ b/src/lentilgauge/callers/caller_server.py
@@ -90,13 +90,16 @@
     account: memory_account.Account,
     now_ms: clock.Clock,
 ) -> None:
-    """Let connections make way for memory."""
+    """Let connections make way for memory, and requests for connections."""
     account.count_idle = functools.partial(
         connection_limits.count_idle, connections
     )
     account.close_idle = functools.partial(
         connection_limits.close_idle, connections
     )
+    connections.drop_busy = lambda: connection_memory.drop_slowest(
+        account, now_ms()
+    )
     connections.release = functools.partial(
         connection_memory.close_connection, account
     )
--- a/src/lentilgauge/callers/connection_limits.py
+++ b/src/lentilgauge/callers/connection_limits.py
@@ -29,11 +29,14 @@
     with the one that moved least recently. All others are being served. On
     those that are `ending`, an answer announced that it is the last.
     `report_eviction` is called when a connection is closed for the limit.
-    `release` is called once for each connection that was counted.
+    `drop_busy` ends one whose request waits or whose answer isn't read, and
+    returns whether there was one (`bool` says no). `release` is called once for
+    each connection that was counted.
     """
 
     limit: int = 0
     report_eviction: Callable[[], None] = lambda: None
+    drop_busy: Callable[[], bool] = bool
     release: Callable[[iostream.BaseIOStream], None] = lambda _: None
     open_streams: set[iostream.BaseIOStream] = dataclasses.field(
         default_factory=set
@@ -89,11 +92,14 @@
 
 
 def evict(connections: Connections) -> bool:
-    """Close a connection for others; return whether there was one."""
+    """Close a connection for others; return whether there was one.
+
+    If all are busy, one goes whose request waits or whose answer isn't read.
+    """
     if close_idle(connections):
         return True
     connections.report_eviction()
-    return False
+    return connections.drop_busy()
 
 
 def open_connection(
--- a/src/lentilgauge/callers/connection_memory.py
+++ b/src/lentilgauge/callers/connection_memory.py
@@ -89,3 +89,28 @@
     head = account.head_by_stream.pop(stream, None)
     if head is not None:
         memory_account.release(account, head)
+
+
+def drop_slowest(account: memory_account.Account, now_ms: int) -> bool:
+    """Drop a transfer for the connection it takes; return whether one was.
+
+    The load addressed is many answers that nobody reads, and requests that wait
+    for an upstream: the one that stands still for longest goes.
+    """
+    slowest = min(
+        (
+            holding
+            for holding in account.holdings
+            if memory_account.is_stalled(holding, now_ms)
+            or memory_account.is_unfinished(holding)
+        ),
+        key=lambda holding: (
+            not memory_account.is_stalled(holding, now_ms),
+            holding.moved_ms,
+        ),
+        default=None,
+    )
+    if slowest is None:
+        return False
+    memory_account.drop(account, slowest)
+    return True
--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -356,7 +356,7 @@
         kind=memory_account.Kind.REPLIES,
         held_bytes=exchange.answer_bytes,
         moved_ms=exchange.entry.now_ms(),
-        drop=exchange.connection.stream.close,
+        drop=lambda: _close_connection(exchange),
     )
     memory_account.hold(account, holding)
     try:
@@ -365,6 +365,13 @@
         memory_account.release(account, holding)
 
 
+def _close_connection(exchange: Exchange) -> None:
+    """Close the connection of a caller that doesn't read its answer."""
+    stream = exchange.connection.stream
+    connection_limits.close_connection(exchange.entry.connections, stream)
+    stream.close()
+
+
 def start_caller_server(
     entry: entry_module.Entry,
     *,
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -5,12 +5,20 @@
 within the limits, and ordinary requests have to be answered.
 """
 
+import asyncio
+from typing import ClassVar
+
 from tests import crowd_fixtures
 
 _LONG_HEADS_CROWD = 600
 #: Within the configuration's limit of 16 KiB.
 _HEAD_BYTES = 16_300
 _UNFINISHED_HEADS_CROWD = 1000
+_READERS_CROWD = 120
+_ANSWERS_EACH = 24
+#: Some fewer than fit in the buffers of a connection.
+_ANSWERS_IN_BUFFERS = 4
+_SECONDS_UNREAD = 5
 
 
 class CrowdsTest(crowd_fixtures.CrowdTestCase):
@@ -52,3 +60,25 @@
             for number in range(_UNFINISHED_HEADS_CROWD)
         )
         await self.assert_survives()
+
+
+class UnreadAnswersTest(crowd_fixtures.CrowdTestCase):
+    """A gateway process with few descriptors."""
+
+    max_fds: ClassVar[int] = 400
+
+    async def test_unread_answers(self) -> None:
+        """Guard against answers that nobody reads and that fill the limit."""
+        requests = b''.join(
+            crowd_fixtures.make_head('GET', '/large/x', number)
+            for number in range(_ANSWERS_EACH)
+        )
+        await self.crowd.send_in_turn(
+            (requests for _ in range(_READERS_CROWD)),
+            lambda count: (
+                len(self.upstream.executed_requests)
+                >= count * _ANSWERS_IN_BUFFERS
+            ),
+        )
+        await asyncio.sleep(_SECONDS_UNREAD)
+        await self.assert_survives()
