Bound what the kernel and the heap hold for callers' bodies

Bodies of middle size and bytes behind requests in flight took a process over the memory of its VM, though the account of bodies was full and held.

Cause: three things that grow with the number of connections weren't counted. The kernel received up to 100 kB for each that nothing was read from, which counts as memory of the VM; the HTTP library read 64 KiB ahead of an answer; and buffers that grew with each piece of a body left gaps in the heap between those of others.

Change: the kernel receives 16 KiB for a connection (24 kB at most), and the HTTP library reads as much ahead, which is what a connection counts. A body over 1 MB gets the wider buffer that all had. A body of a known length has its memory from its second piece on, and blocks from 128 KiB on are mapped alone, so that they are returned. At most 512 connections, which may send into their buffers too, wait to be accepted.

One more guards that the smallest VM's process, with 160 MB, still serves a body of 64 MiB and a head of 16 kB among 200 idle connections.

--- a/src/lentilgauge/callers/body_intake.py
+++ b/src/lentilgauge/callers/body_intake.py
@@ -23,12 +23,15 @@
     """Body that is being received.
 
     A body of one chunk, which most are, needs no buffer. The announced length
-    is counted from the start, that of a chunked body as it grows.
+    is counted from the start, and has its memory from the second chunk on: a
+    buffer that grows leaves gaps in the heap. A chunked body counts as it
+    grows.
     """
 
     account: memory_account.Account
     now_ms: clock.Clock
     holding: memory_account.Holding
+    announced_bytes: int = 0
     received_bytes: int = 0
     first_chunk: bytes = b''
     buffer: io.BytesIO | None = None
@@ -83,7 +86,12 @@
         is_unsent=is_unsent,
     )
     memory_account.hold(account, holding)
-    return Intake(account=account, now_ms=now_ms, holding=holding)
+    return Intake(
+        account=account,
+        now_ms=now_ms,
+        holding=holding,
+        announced_bytes=length,
+    )
 
 
 def add_chunk(intake: Intake, chunk: bytes) -> bool:
@@ -96,7 +104,7 @@
         intake.first_chunk = chunk
         return True
     if intake.buffer is None:
-        intake.buffer = io.BytesIO()
+        intake.buffer = io.BytesIO(bytes(intake.announced_bytes))
         intake.buffer.write(intake.first_chunk)
         intake.first_chunk = b''
     intake.buffer.write(chunk)
@@ -132,6 +140,7 @@
     """Return the complete body, which counts until `end`."""
     body = intake.first_chunk
     if intake.buffer is not None:
+        intake.buffer.truncate()
         body = intake.buffer.getvalue()
     _free(intake)
     return body
--- a/src/lentilgauge/callers/caller_server.py
+++ b/src/lentilgauge/callers/caller_server.py
@@ -26,12 +26,15 @@
     memory_account,
 )
 
-_BACKLOG = 2048
+#: Connections that wait to be accepted may send into their kernel buffers.
+_BACKLOG = 512
+#: Bytes of a connection that are read at once.
+_READ_BYTES = 16_384
 #: Sizes of the buffers of a connection in the kernel, where bytes that aren't
-#: read yet count as memory of the VM. A window of 64 KiB fills 100 Mbit/s at a
-#: round trip of 5 ms.
+#: read yet count as memory of the VM. A window of 16 KiB fills 10 Mbit/s at a
+#: round trip of 13 ms; a long body gets a wider one.
 _BYTES_BY_SOCKET_BUFFER = types.MappingProxyType(
-    {socket.SO_RCVBUF: 65_536, socket.SO_SNDBUF: 131_072}
+    {socket.SO_RCVBUF: 16_384, socket.SO_SNDBUF: 131_072}
 )
 
 
@@ -134,6 +137,7 @@
             delegate,
             max_body_size=max_body_size,
             max_header_size=max_header_size,
+            chunk_size=_READ_BYTES,
             idle_connection_timeout=idle_seconds,
         )
         server.connections = connections
@@ -150,7 +154,7 @@
         caller_stream = caller_stream_module.CallerStream(
             stream.socket,
             turns=self.turns,
-            read_chunk_size=self.read_chunk_size,
+            read_chunk_size=_READ_BYTES,
         )
         if self._may_open(caller_stream):
             super().handle_stream(caller_stream, address)
--- a/src/lentilgauge/callers/caller_stream.py
+++ b/src/lentilgauge/callers/caller_stream.py
@@ -12,6 +12,8 @@
 #: A head with more lines or bytes is long.
 _SHORT_HEAD_LINES = 64
 _SHORT_HEAD_BYTES = 8192
+#: Fills 100 Mbit/s at a round trip of 5 ms.
+_WIDE_WINDOW_BYTES = 65_536
 
 
 class CallerStream(iostream.IOStream):
@@ -22,7 +24,7 @@
         connection: socket.socket,
         *,
         turns: loop_turns.Turns,
-        read_chunk_size: int | None,
+        read_chunk_size: int,
     ) -> None:
         """Initialise the stream of an accepted connection."""
         super().__init__(connection, read_chunk_size=read_chunk_size)
@@ -67,6 +69,14 @@
             passed.exception()
 
 
+def widen_window(stream: iostream.BaseIOStream) -> None:
+    """Let a caller send more before it is read, for a long body."""
+    if isinstance(stream, CallerStream):
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _WIDE_WINDOW_BYTES
+        )
+
+
 def _is_short(head: bytes) -> bool:
     return (
         len(head) <= _SHORT_HEAD_BYTES
--- a/src/lentilgauge/callers/reception.py
+++ b/src/lentilgauge/callers/reception.py
@@ -8,6 +8,7 @@
 from lentilgauge import clock
 from lentilgauge.callers import (
     body_intake,
+    caller_stream,
     connection_limits,
     connection_memory,
     memory_account,
@@ -70,6 +71,10 @@
             drop=drop,
             is_unsent=is_unsent,
         )
+    if intake is not None and (
+        intake.announced_bytes > memory_account.ORDINARY_BYTES
+    ):
+        caller_stream.widen_window(stream)
     connection_limits.mark_moved(receiver.connections, stream)
     return Reception(has_room=intake is not None, intake=intake)
 
--- a/src/lentilgauge/process_memory.py
+++ b/src/lentilgauge/process_memory.py
@@ -5,7 +5,7 @@
 
 #: Option of glibc's `mallopt`: blocks from this size on are mapped alone.
 _M_MMAP_THRESHOLD = -3
-_THRESHOLD_BYTES = 1_048_576
+_THRESHOLD_BYTES = 131_072
 
 
 def return_large_blocks() -> None:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -13,12 +13,19 @@
 _LONG_HEADS_CROWD = 600
 #: Within the configuration's limit of 16 KiB.
 _HEAD_BYTES = 16_300
+_BODIES_CROWD = 1000
+_BODY_BYTES = 250_000
+_SMALL_BODIES_CROWD = 1000
+_SMALL_BODY_BYTES = 60_000
+_PIPELINING_CROWD = 900
+_PIPELINED_BYTES = 200_000
 _UNFINISHED_HEADS_CROWD = 1000
 _READERS_CROWD = 120
 _ANSWERS_EACH = 24
 #: Some fewer than fit in the buffers of a connection.
 _ANSWERS_IN_BUFFERS = 4
 _SECONDS_UNREAD = 5
+_IDLE_CROWD = 200
 
 
 class CrowdsTest(crowd_fixtures.CrowdTestCase):
@@ -61,6 +68,47 @@
         )
         await self.assert_survives()
 
+    async def test_unfinished_bodies(self) -> None:
+        """Guard against bodies of middle size that lack their last byte."""
+        head = f'Content-Length: {_BODY_BYTES}'
+        await self.crowd.send_all(
+            crowd_fixtures.make_head('POST', '/pool/x', number, head)
+            + b'x' * (_BODY_BYTES - 1)
+            for number in range(_BODIES_CROWD)
+        )
+        await self.assert_survives()
+
+    async def test_unfinished_small_bodies(self) -> None:
+        """Guard against many small bodies that lack their last byte."""
+        head = f'Content-Length: {_SMALL_BODY_BYTES}'
+        await self.crowd.send_all(
+            crowd_fixtures.make_head('POST', '/pool/x', number, head)
+            + b'x' * (_SMALL_BODY_BYTES - 1)
+            for number in range(_SMALL_BODIES_CROWD)
+        )
+        await self.assert_survives()
+
+    async def test_bodies_that_wait_for_an_upstream(self) -> None:
+        """Guard against complete bodies that leave nothing to others."""
+        self.upstream.finish_allowed.clear()
+        head = f'Content-Length: {_BODY_BYTES}'
+        await self.crowd.send_all(
+            crowd_fixtures.make_head('POST', '/pool/x', number, head)
+            + b'x' * _BODY_BYTES
+            for number in range(_BODIES_CROWD)
+        )
+        await self.assert_survives()
+
+    async def test_bytes_behind_requests_in_flight(self) -> None:
+        """Guard against bytes that are received and wait for an answer."""
+        self.upstream.finish_allowed.clear()
+        await self.crowd.send_all(
+            crowd_fixtures.make_head('GET', '/pool/x', number)
+            + b'x' * _PIPELINED_BYTES
+            for number in range(_PIPELINING_CROWD)
+        )
+        await self.assert_survives()
+
 
 class UnreadAnswersTest(crowd_fixtures.CrowdTestCase):
     """A gateway process with few descriptors."""
@@ -82,3 +130,28 @@
         )
         await asyncio.sleep(_SECONDS_UNREAD)
         await self.assert_survives()
+
+
+class SmallestVmTest(crowd_fixtures.CrowdTestCase):
+    """A gateway process with the limits of the smallest VM."""
+
+    memory_mb: ClassVar[int] = 160
+    max_fds: ClassVar[int] = 3075
+
+    async def test_the_largest_request_is_served_in_calm(self) -> None:
+        """Guard against limits that a single sound request meets."""
+        await self.crowd.send_all(b'' for _ in range(_IDLE_CROWD))
+        await self.assert_answered(
+            'POST', '/write/x', b'x' * crowd_fixtures.MAX_BODY_BYTES
+        )
+        head = crowd_fixtures.make_long_head(
+            'GET', '/large/x', 0, size=_HEAD_BYTES
+        )
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.gateway.ports.front
+        )
+        self.addCleanup(writer.close)
+        writer.write(head)
+        answer = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 20)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200 '), answer)
+        self.assert_within_limits()
