Read tiny chunks in turns that all connections share

Cause: a chunk takes some 15 us, whatever it brings. The HTTP library lets others run after 256 chunks, but on each connection, so that a round of the loop took the longer the more such callers there were.

Change: a connection takes a turn at the loop for each 32 chunks. The turns are those of long heads: a bounded part of such work begins in a round, for all connections together. Without other such work a turn comes at once.

--- a/src/lentilgauge/callers/caller_stream.py
+++ b/src/lentilgauge/callers/caller_stream.py
@@ -17,7 +17,10 @@
 
 
 class CallerStream(iostream.IOStream):
-    """Connection whose long heads wait for their turns."""
+    """Connection whose long heads and many chunks wait for their turns.
+
+    `frames` counts the chunks that have been read on it.
+    """
 
     def __init__(
         self,
@@ -29,6 +32,7 @@
         """Initialise the stream of an accepted connection."""
         super().__init__(connection, read_chunk_size=read_chunk_size)
         self.turns = turns
+        self.frames = 0
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -42,6 +46,24 @@
             read.add_done_callback(functools.partial(self._pass_head, passed))
         return passed
 
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Read the length of a chunk, after many of them in a later turn."""
+        read = asyncio.ensure_future(super().read_until(delimiter, max_bytes))
+        self.frames += 1
+        if self.frames % loop_turns.FRAMES_PER_TURN:
+            return read
+        passed: asyncio.Future[bytes] = asyncio.Future()
+        loop_turns.request_turn(
+            self.turns,
+            loop_turns.Turn(
+                units=loop_turns.FRAMES_UNITS,
+                take=functools.partial(_chain, read, passed),
+            ),
+        )
+        return passed
+
     def _pass_head(
         self, passed: asyncio.Future[bytes], read: asyncio.Future[bytes]
     ) -> None:
@@ -88,6 +110,14 @@
     return read.cancelled() or read.exception() is not None
 
 
+def _chain(read: asyncio.Future[bytes], passed: asyncio.Future[bytes]) -> None:
+    """Pass on the outcome of a read, once there is one."""
+    if read.done():
+        _copy_outcome(passed, read)
+    else:
+        read.add_done_callback(functools.partial(_copy_outcome, passed))
+
+
 def _copy_outcome(
     passed: asyncio.Future[bytes], read: asyncio.Future[bytes]
 ) -> None:
--- a/src/lentilgauge/callers/loop_turns.py
+++ b/src/lentilgauge/callers/loop_turns.py
@@ -1,8 +1,8 @@
 """Turns at the event loop for work of callers that takes long.
 
-Parsing a long head takes the loop for as long as many ordinary requests. Such
-work is done in turns, a bounded part of it in each round of the loop, so that
-everything else goes on between them.
+Parsing a long head, or a body in tiny chunks, takes the loop for as long as
+many ordinary requests. Callers do such work in turns, a bounded part of it in
+each round of the loop, so that everything else goes on between them.
 """
 
 import asyncio
@@ -15,6 +15,9 @@
 UNITS_PER_ROUND = 16
 #: Parsing a head of 16 KiB of short headers takes 6 ms.
 HEAD_UNITS = 16
+#: Units of `FRAMES_PER_TURN` frames, which take half a millisecond.
+FRAMES_UNITS = 1
+FRAMES_PER_TURN = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -20,6 +20,8 @@
 _PIPELINING_CROWD = 900
 _PIPELINED_BYTES = 200_000
 _UNFINISHED_HEADS_CROWD = 1000
+_CHUNKS_CROWD = 250
+_CHUNKS_PIECE = b'1\r\nx\r\n' * 4000
 _READERS_CROWD = 120
 _ANSWERS_EACH = 24
 #: Some fewer than fit in the buffers of a connection.
@@ -109,6 +111,22 @@
         )
         await self.assert_survives()
 
+    async def test_chunks_of_one_byte(self) -> None:
+        """Guard against bodies whose framing takes the loop from others."""
+        head = crowd_fixtures.make_head(
+            'POST', '/pool/x', 0, 'Transfer-Encoding: chunked'
+        )
+        clients = [
+            asyncio.ensure_future(
+                self.crowd.send_without_end(head, _CHUNKS_PIECE)
+            )
+            for _ in range(_CHUNKS_CROWD)
+        ]
+        for client in clients:
+            self.addCleanup(client.cancel)
+        await asyncio.sleep(_SECONDS_UNREAD)
+        await self.assert_survives()
+
 
 class UnreadAnswersTest(crowd_fixtures.CrowdTestCase):
     """A gateway process with few descriptors."""
