Read single bytes of requests in turns

Callers whose heads came byte by byte could take the event loop: each byte was one read, after which the whole head so far was searched for its end, up to 0.3 ms for 32 kB. In each round all such connections were read.

Cause: the time that a read takes didn't depend on what it brought, and nothing bounded how many of them were made in a round.

Change: after 32 reads of under 512 bytes, each further one of a request waits for a turn at the loop, as long heads and chunks do. The count begins anew with each head, so that ordinary requests wait for none.

It is a model; that callers of a real process saw this was inferred, not measured.

--- a/src/lentilgauge/callers/caller_stream.py
+++ b/src/lentilgauge/callers/caller_stream.py
@@ -12,14 +12,20 @@
 #: A head with more lines or bytes is long.
 _SHORT_HEAD_LINES = 64
 _SHORT_HEAD_BYTES = 8192
+#: Reads of fewer bytes are counted; this many of a request wait for no turn.
+_SMALL_READ_BYTES = 512
+_FREE_SMALL_READS = 32
 #: Fills 100 Mbit/s at a round trip of 5 ms.
 _WIDE_WINDOW_BYTES = 65_536
 
 
 class CallerStream(iostream.IOStream):
-    """Connection whose long heads and many chunks wait for their turns.
+    """Connection whose long work waits for its turns.
 
-    `frames` counts the chunks that have been read on it.
+    Such work is a long head, many chunks, or bytes that come one by one, as a
+    head is searched for its end at each of them. `frames` counts the chunks
+    that have been read on it, and `small_reads` the short reads of the current
+    request. Once these are too many, each waits until `may_read`.
     """
 
     def __init__(
@@ -33,6 +39,20 @@
         super().__init__(connection, read_chunk_size=read_chunk_size)
         self.turns = turns
         self.frames = 0
+        self.small_reads = 0
+        self.may_read = False
+        self._awaits_read = False
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read what has arrived, or nothing until the turn for it has come."""
+        if self.small_reads >= _FREE_SMALL_READS and not self.may_read:
+            self._request_read()
+            return None
+        self.may_read = False
+        count = super().read_from_fd(buf)
+        if count is not None and count < _SMALL_READ_BYTES:
+            self.small_reads += 1
+        return count
 
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -64,9 +84,23 @@
         )
         return passed
 
+    def _request_read(self) -> None:
+        if self._awaits_read:
+            return
+        self._awaits_read = True
+        loop_turns.request_turn(
+            self.turns,
+            loop_turns.Turn(units=loop_turns.READ_UNITS, take=self._allow_read),
+        )
+
+    def _allow_read(self) -> None:
+        self._awaits_read = False
+        self.may_read = True
+
     def _pass_head(
         self, passed: asyncio.Future[bytes], read: asyncio.Future[bytes]
     ) -> None:
+        self.small_reads = 0
         if _failed(read) or _is_short(read.result()):
             _copy_outcome(passed, read)
             return
--- a/src/lentilgauge/callers/loop_turns.py
+++ b/src/lentilgauge/callers/loop_turns.py
@@ -1,8 +1,8 @@
 """Turns at the event loop for work of callers that takes long.
 
-Parsing a long head, or a body in tiny chunks, takes the loop for as long as
-many ordinary requests. Callers do such work in turns, a bounded part of it in
-each round of the loop, so that everything else goes on between them.
+A long head, or a body in tiny chunks or single bytes, takes the loop for as
+long as many ordinary requests. Such work is done in turns, a bounded part of it
+in each round of the loop, so that everything else goes on between them.
 """
 
 import asyncio
@@ -18,6 +18,8 @@
 #: Units of `FRAMES_PER_TURN` frames, which take half a millisecond.
 FRAMES_UNITS = 1
 FRAMES_PER_TURN = 32
+#: Searching an unfinished head for its end takes up to 0.3 ms.
+READ_UNITS = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_loop_turns.py
+++ b/tests/test_loop_turns.py
@@ -17,6 +17,20 @@
 _LONG_HEAD = b'%s\r\n' % (b'a:\r\n' * 2000)
 _SHORT_HEAD = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 _HEAD_END = b'\r\n\r\n'
+_SINGLE_BYTES = 200
+
+
+class CountedStream(caller_stream.CallerStream):
+    """Connection whose reads the test counts."""
+
+    test: 'LoopTurnsTest'
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read what has arrived."""
+        count = super().read_from_fd(buf)
+        if count:
+            self.test.count += 1
+        return count
 
 
 class LoopTurnsTest(unittest.IsolatedAsyncioTestCase):
@@ -54,6 +68,13 @@
             await asyncio.sleep(0)
             self.counts.append(self.count - before)
 
+    async def drip(self, peers: list[socket.socket]) -> None:
+        """Send bytes one by one on all connections, one in each round."""
+        for _ in range(_SINGLE_BYTES):
+            for peer in peers:
+                peer.send(b'a')
+            await asyncio.sleep(0)
+
     async def run_all(
         self, reads: list[Callable[[], Awaitable[bytes]]], times: int
     ) -> None:
@@ -88,6 +109,30 @@
         self.assertEqual(self.count, _STREAMS)
         self.assertEqual(max(self.counts), 1)
 
+    async def test_single_bytes_of_a_head_leave_the_loop_to_others(
+        self,
+    ) -> None:
+        """Guard against heads that are searched again at each byte."""
+        peers: list[socket.socket] = []
+        for _ in range(_STREAMS):
+            ours, theirs = socket.socketpair()
+            self.addCleanup(theirs.close)
+            peers.append(theirs)
+            stream = CountedStream(
+                ours, turns=self.turns, read_chunk_size=65_536
+            )
+            stream.test = self
+            self.addCleanup(stream.close)
+            stream.read_until_regex(_HEAD_END)
+        # The first bytes of each wait for no turn.
+        await self.drip(peers)
+        self.counts.clear()
+        watching = asyncio.ensure_future(self.watch_rounds())
+        await self.drip(peers)
+        watching.cancel()
+        self.assertGreater(max(self.counts), 0)
+        self.assertLessEqual(max(self.counts), loop_turns.UNITS_PER_ROUND)
+
     async def test_a_short_head_waits_for_no_long_one(self) -> None:
         """Guard against ordinary requests that queue behind a crowd's."""
         waiting = [
