Drop no request before its task has begun

Callers whose requests were dropped for others in the round of the loop in which they had arrived got no answer, and their connections stayed open and counted for good: after some waves of crowds no new caller was let in.

Cause: a waiting request is dropped by cancelling its task. A task that is cancelled before it has begun runs no part of its code, so nothing answered.

Change: a request can be dropped only from the moment at which its task has parsed it.

--- a/src/lentilgauge/callers/exchange.py
+++ b/src/lentilgauge/callers/exchange.py
@@ -75,15 +75,16 @@
 
 
 def is_unsent(exchange: Exchange) -> bool:
-    """Return whether a request has been sent to no upstream."""
-    match exchange.stage:
-        case Stage.RECEIVING:
-            return True
-        case Stage.SERVING:
-            request = exchange.request
-            return request is None or not request.attempts
-        case _:
-            return False
+    """Return whether a request can still be refused as not run.
+
+    Before its task has begun it can't: a task that is cancelled then runs no
+    part of its code, and so wouldn't answer.
+    """
+    if exchange.stage is Stage.RECEIVING:
+        return True
+    if exchange.stage is not Stage.SERVING or exchange.request is None:
+        return False
+    return not exchange.request.attempts
 
 
 def end_intake(exchange: Exchange) -> None:
--- a/tests/crowd_fixtures.py
+++ b/tests/crowd_fixtures.py
@@ -6,6 +6,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import resource
 import socket
 import tempfile
@@ -138,6 +139,7 @@
         """Close all connections."""
         for connection in self.sockets:
             connection.close()
+        self.sockets.clear()
 
 
 class LargeAnswers(gateway_upstream.Upstream):
@@ -177,6 +179,44 @@
     return make_head(method, path, number, *lines, *extra)
 
 
+def make_any_head(number: int, generator: random.Random) -> bytes:
+    """Make a request with a head of short headers, or the begin of one."""
+    size = generator.choice((4000, 8000, 16_300))
+    if generator.choice((True, False)):
+        return make_long_head('GET', '/pool/x', number, size=size)
+    length = 'Content-Length: 10'
+    return make_long_head('POST', '/pool/x', number, length, size=size)
+
+
+def make_any_body(number: int, generator: random.Random) -> bytes:
+    """Make a request with a body, which may lack its last byte."""
+    size = generator.choice((3000, 20_000, 60_000, 130_000, 250_000, 900_000))
+    head = make_head('POST', '/pool/x', number, f'Content-Length: {size}')
+    return head + b'x' * (size - generator.choice((0, 1)))
+
+
+def make_any_chunks(number: int, generator: random.Random) -> bytes:
+    """Make a request with a body in chunks, without its end."""
+    size = generator.choice((1000, 5000, 30_000))
+    count = generator.choice((3, 20))
+    head = make_head('POST', '/pool/x', number, 'Transfer-Encoding: chunked')
+    return head + (b'%x\r\n%s\r\n' % (size, b'x' * size)) * count
+
+
+def make_any_bytes_behind(number: int, generator: random.Random) -> bytes:
+    """Make a request with other bytes behind it."""
+    head = make_head('GET', '/pool/x', number)
+    return head + b'x' * generator.choice((1000, 50_000))
+
+
+SHAPES: tuple[Callable[[int, random.Random], bytes], ...] = (
+    make_any_head,
+    make_any_body,
+    make_any_chunks,
+    make_any_bytes_behind,
+)
+
+
 class CrowdTestCase(unittest.IsolatedAsyncioTestCase):
     """One gateway process with low limits, and the peak of its memory.
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from typing import ClassVar
 
 from tests import crowd_fixtures
@@ -28,6 +29,9 @@
 _ANSWERS_IN_BUFFERS = 4
 _SECONDS_UNREAD = 5
 _IDLE_CROWD = 200
+_WAVES = 16
+_WAVES_SEED = 5
+_WAVE_CROWD = 300
 
 
 class CrowdsTest(crowd_fixtures.CrowdTestCase):
@@ -128,6 +132,23 @@
         await self.assert_survives()
 
 
+class MixedCrowdsTest(crowd_fixtures.CrowdTestCase):
+    """A gateway process with 120 MB, and crowds of several shapes in turn."""
+
+    async def test_waves_of_all_shapes(self) -> None:
+        """Guard against what one shape leaves behind for the next."""
+        self.upstream.finish_allowed.clear()
+        generator = random.Random(_WAVES_SEED)
+        for number in range(_WAVES):
+            make = crowd_fixtures.SHAPES[number % len(crowd_fixtures.SHAPES)]
+            await self.crowd.send_all(
+                make(client, generator) for client in range(_WAVE_CROWD)
+            )
+            if generator.choice((True, False)):
+                self.crowd.close()
+        await self.assert_survives()
+
+
 class UnreadAnswersTest(crowd_fixtures.CrowdTestCase):
     """A gateway process with few descriptors."""
 
