Let kept and waiting connections make way for resident memory

A process close to the memory of its VM closed only connections without a complete request. If there were none, it did nothing.

Cause: relief of memory that the account doesn't count was written for unfinished heads. These count now; what is left are gaps in the heap, which no kind of connection causes more than others.

Change: connections make way in the same order as for a new one: incomplete ones, kept ones, unread answers, requests that were sent nowhere. Before that the free pages of the heap are returned to the system.

--- a/src/lentilgauge/process_memory.py
+++ b/src/lentilgauge/process_memory.py
@@ -17,3 +17,12 @@
     """
     with contextlib.suppress(AttributeError, OSError):
         ctypes.CDLL(None).mallopt(_M_MMAP_THRESHOLD, _THRESHOLD_BYTES)
+
+
+def return_unused_memory() -> None:
+    """Return the heap's free pages to the system; takes some milliseconds.
+
+    Other C libraries have no such function.
+    """
+    with contextlib.suppress(AttributeError, OSError):
+        ctypes.CDLL(None).malloc_trim(0)
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -331,6 +331,21 @@
         memory_watch.relieve(account, self.connections, 160_000_000)
         self.assertEqual(self.list_closed(), [1, 2])
 
+    def test_resident_memory_closes_kept_connections_too(self) -> None:
+        """Guard against memory that no unfinished connection holds."""
+        account = memory_account.make_account(_MEMORY_MB)
+        dropped: list[bool] = []
+        self.connections.drop_busy = lambda: bool(dropped.append(True))
+        for index in range(3):
+            self.serve(index)
+        connection_limits.mark_kept(
+            self.connections,
+            self.streams[1],  # type: ignore[arg-type]
+        )
+        memory_watch.relieve(account, self.connections, 160_000_000)
+        self.assertEqual(self.list_closed(), [1])
+        self.assertEqual(dropped, [True])
+
     def test_without_a_limit_resident_memory_closes_none(self) -> None:
         """Guard against limits in deployments that set none."""
         account = memory_account.make_account(0)
