Forget long heads of callers that have left

A caller that sent a long head and closed its connection left the head, and its work in the order of turns, behind until that turn came. Callers may come and leave faster than such turns do, so the memory, which no longer counted as it was that of no open connection, had no bound.

Cause: a turn was kept whether anybody still waited for it.

Change: the end of a connection ends its turns. One call at a time grants turns, so that an order that empties and fills again grants no more.

Found by reading; no crowd was measured.

--- a/src/lentilgauge/callers/caller_server.py
+++ b/src/lentilgauge/callers/caller_server.py
@@ -114,11 +114,10 @@
     The memory of a connection counts in `account` from its accept to its end.
     """
 
-    turns: loop_turns.Turns
-
     connections: connection_limits.Connections
     account: memory_account.Account
     now_ms: clock.Clock
+    turns: loop_turns.Turns
 
     @classmethod
     def make(
--- a/src/lentilgauge/callers/caller_stream.py
+++ b/src/lentilgauge/callers/caller_stream.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import socket
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from tornado import iostream
 
@@ -42,6 +42,19 @@
         self.small_reads = 0
         self.may_read = False
         self._awaits_read = False
+        self._requested: list[loop_turns.Turn] = []
+
+    def close(
+        self,
+        exc_info: (
+            bool | BaseException | tuple[object, object, object] | None
+        ) = False,
+    ) -> None:
+        """Close the connection; what waited on it ends at once."""
+        super().close(exc_info)  # type: ignore[arg-type]
+        for turn in self._requested:
+            loop_turns.take_at_once(self.turns, turn)
+        self._requested.clear()
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what has arrived, or nothing until the turn for it has come."""
@@ -75,15 +88,21 @@
         if self.frames % loop_turns.FRAMES_PER_TURN:
             return read
         passed: asyncio.Future[bytes] = asyncio.Future()
-        loop_turns.request_turn(
-            self.turns,
-            loop_turns.Turn(
-                units=loop_turns.FRAMES_UNITS,
-                take=functools.partial(_chain, read, passed),
-            ),
+        self._request_turn(
+            loop_turns.FRAMES_UNITS, functools.partial(_chain, read, passed)
         )
         return passed
 
+    def _request_turn(self, units: int, take: Callable[[], None]) -> None:
+        turn = loop_turns.Turn(units=units, take=take)
+        self._requested = [
+            requested
+            for requested in self._requested
+            if requested in self.turns.waiting
+        ]
+        self._requested.append(turn)
+        loop_turns.request_turn(self.turns, turn)
+
     def _request_read(self) -> None:
         if self._awaits_read:
             return
@@ -104,12 +123,9 @@
         if _failed(read) or _is_short(read.result()):
             _copy_outcome(passed, read)
             return
-        loop_turns.request_turn(
-            self.turns,
-            loop_turns.Turn(
-                units=loop_turns.HEAD_UNITS,
-                take=functools.partial(self._pass_long_head, passed, read),
-            ),
+        self._request_turn(
+            loop_turns.HEAD_UNITS,
+            functools.partial(self._pass_long_head, passed, read),
         )
 
     def _pass_long_head(
--- a/src/lentilgauge/callers/loop_turns.py
+++ b/src/lentilgauge/callers/loop_turns.py
@@ -22,7 +22,7 @@
 READ_UNITS = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, eq=False)
 class Turn:
     """Work that waits for its turn; `take` begins it."""
 
@@ -32,26 +32,45 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Turns:
-    """Work that waits, the first to come first."""
+    """Work that waits, the first to come first.
 
-    waiting: collections.deque[Turn] = dataclasses.field(
-        default_factory=collections.deque
+    `is_scheduled` is whether turns are granted in the next round of the loop.
+    """
+
+    waiting: collections.OrderedDict[Turn, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
     )
+    is_scheduled: bool = False
 
 
 def request_turn(turns: Turns, turn: Turn) -> None:
     """Let work wait for its turn, which comes in a later round of the loop."""
-    turns.waiting.append(turn)
-    if len(turns.waiting) == 1:
+    turns.waiting[turn] = None
+    _schedule(turns)
+
+
+def take_at_once(turns: Turns, turn: Turn) -> None:
+    """Begin work that waits, as little is left of it."""
+    if turn in turns.waiting:
+        turns.waiting.pop(turn)
+        turn.take()
+
+
+def _schedule(turns: Turns) -> None:
+    if not turns.is_scheduled:
+        turns.is_scheduled = True
         asyncio.get_running_loop().call_soon(_grant_turns, turns)
 
 
 def _grant_turns(turns: Turns) -> None:
     """Begin as much of the work as fits in one round of the loop."""
+    turns.is_scheduled = False
     units = 0
     while turns.waiting:
-        units += turns.waiting[0].units
+        turn = next(iter(turns.waiting))
+        units += turn.units
         if units > UNITS_PER_ROUND:
-            asyncio.get_running_loop().call_soon(_grant_turns, turns)
+            _schedule(turns)
             break
-        turns.waiting.popleft().take()
+        turns.waiting.pop(turn)
+        turn.take()
--- a/src/lentilgauge/callers/reception.py
+++ b/src/lentilgauge/callers/reception.py
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Reception:
-    """Begin of a request: whether there is memory, and its body if any."""
+    """Whether there is memory for a request, and its body if it has one."""
 
     has_room: bool
     intake: body_intake.Intake | None = None
--- a/tests/test_loop_turns.py
+++ b/tests/test_loop_turns.py
@@ -152,6 +152,18 @@
         self.assertLess(self.count, _STREAMS // 2)
         await asyncio.gather(*waiting)
 
+    async def test_callers_that_leave_give_up_their_turns(self) -> None:
+        """Guard against heads that are kept for callers that have left."""
+        reads = []
+        for _ in range(_STREAMS):
+            stream = self.connect(_LONG_HEAD)
+            reads.append(stream.read_until_regex(_HEAD_END))
+            stream.close()
+        self.assertFalse(self.turns.waiting)
+        for read in reads:
+            with self.assertRaises(iostream.StreamClosedError):
+                await read
+
     async def test_a_head_whose_caller_has_left_is_not_parsed(self) -> None:
         """Guard against work for nobody."""
         self.connect(_LONG_HEAD).read_until_regex(_HEAD_END)
