Forget refused requests of callers that have left

The rest of a refused body is discarded for 2 s. The timer of that kept the request, with its headers, for as long, though its caller had left and its connection no longer counted.

Change: the timer refers to the request weakly; its connection keeps it.

Evidence: with a timer of 1,000 s the new test waited in vain for the end of the request before, and passes now. Found by reading; no crowd was measured.

--- a/src/lentilgauge/callers/answers.py
+++ b/src/lentilgauge/callers/answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import weakref
 
 from tornado import httputil, iostream
 
@@ -219,11 +220,17 @@
     if is_long or 'Expect' in exchange.headers:
         exchange.connection.finish()
         return
-    asyncio.get_running_loop().call_later(_LINGER_S, _end_linger, exchange)
+    # The timer must not keep the exchange of a caller that has left.
+    asyncio.get_running_loop().call_later(
+        _LINGER_S, _end_linger, weakref.ref(exchange)
+    )
 
 
-def _end_linger(exchange: exchange_module.Exchange) -> None:
-    if exchange.stage is exchange_module.Stage.REFUSED:
+def _end_linger(reference: weakref.ref[exchange_module.Exchange]) -> None:
+    exchange = reference()
+    if exchange is not None and (
+        exchange.stage is exchange_module.Stage.REFUSED
+    ):
         # The HTTP library closes the connection, as the body isn't complete.
         exchange.connection.finish()
 
--- a/tests/test_dropped_requests.py
+++ b/tests/test_dropped_requests.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import unittest
+import weakref
 from unittest import mock
 
-from lentilgauge.callers import gateway_server, memory_account
+from lentilgauge.callers import answers, gateway_server, memory_account
 from tests import conditions, test_gateway_server
 
-_REQUEST = b'GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: r1\r\n\r\n'
+_HEAD = b'GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: r1\r\n'
+#: Longer than the test runs.
+_LONG_SECONDS = 1000
 
 
 class DroppedRequestsTest(test_gateway_server.GatewayTestCase):
@@ -19,11 +22,13 @@
             if memory_account.is_unfinished(holding):
                 memory_account.drop(self.gateway.account, holding)
 
-    async def ask(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Send a request on a new connection."""
+    async def ask(
+        self, more: bytes = b''
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a request with more headers on a new connection."""
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
         self.addCleanup(writer.close)
-        writer.write(_REQUEST)
+        writer.writelines((_HEAD, more, b'\r\n'))
         return reader, writer
 
     async def test_a_request_is_not_dropped_before_its_task_begins(
@@ -60,6 +65,43 @@
         await conditions.wait_until(lambda: not self.gateway.in_flight)
         self.assertFalse(self.gateway.account.holdings)
 
+    async def test_a_caller_that_leaves_after_a_refusal_is_forgotten(
+        self,
+    ) -> None:
+        """Guard against heads that are kept for the rest of a body."""
+        account = self.gateway.account
+        account.limit_bytes = memory_account.make_account(160).limit_bytes
+        memory_account.hold(
+            account,
+            memory_account.Holding(
+                kind=memory_account.Kind.REQUESTS,
+                held_bytes=account.limit_bytes,
+                moved_ms=self.clock.now_ms,
+                drop=lambda: None,
+            ),
+        )
+        _, writer = await self.ask(b'Content-Length: 100000\r\n')
+        made: list[weakref.ref[gateway_server.ServedExchange]] = []
+        begin = gateway_server.ServedExchange.headers_received
+
+        def begin_and_note(
+            exchange: gateway_server.ServedExchange, *received: object
+        ) -> None:
+            made.append(weakref.ref(exchange))
+            begin(exchange, *received)  # type: ignore[arg-type]
+
+        with (
+            mock.patch.object(
+                gateway_server.ServedExchange,
+                'headers_received',
+                begin_and_note,
+            ),
+            mock.patch.object(answers, '_LINGER_S', _LONG_SECONDS),
+        ):
+            await conditions.wait_until(lambda: made)
+        writer.transport.abort()
+        await conditions.wait_until(lambda: made[0]() is None)
+
     async def test_a_request_that_was_sent_is_never_dropped(self) -> None:
         """Guard against cutting off a request that may have run."""
         self.scripted_upstreams.answer_allowed = asyncio.Event()
