Free the answers of callers that leave while they are written

Callers that asked for answers of 1 MB and left without reading them made a process hold 206 MB where its VM has 120: it would have been ended there.

Cause: the close of the connection cancels the task that writes a long answer in pieces. A cancelled task keeps its error, the error keeps the frames, and these the answer and the exchange, which keeps the task. So the answer stayed until a late collection of that cycle, while the account had released it.

The task now ends normally when it is cancelled, and keeps nothing.

--- a/src/lentilgauge/callers/answers.py
+++ b/src/lentilgauge/callers/answers.py
@@ -279,8 +279,9 @@
     try:
         await header_future
         await _write_each(exchange, holding, body)
-    except iostream.StreamClosedError:
-        # The caller has disconnected.
+    except (iostream.StreamClosedError, asyncio.CancelledError):
+        # The caller has disconnected. An error that the task kept would keep
+        # the answer, too, in a cycle.
         return
     finally:
         memory_account.release(gateway.account, holding)
--- a/tests/crowd_fixtures.py
+++ b/tests/crowd_fixtures.py
@@ -10,8 +10,9 @@
 import resource
 import socket
 import tempfile
+import types
 import unittest
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from typing import ClassVar
 
 from returns import result
@@ -33,7 +34,10 @@
 FILE_FDS = 200
 MAX_BODY_BYTES = 67_108_864
 LARGE_ANSWER_BYTES = 60_000
+#: Still an ordinary size.
+LONG_ANSWER_BYTES = 1_000_000
 _RECEIVE_BUFFER = 4096
+_SLOW_SECONDS = 0.1
 #: Time for which a client of a crowd tries to connect or to send.
 _CLIENT_SECONDS = 10
 _SAMPLE_SECONDS = 0.02
@@ -49,6 +53,12 @@
     gateway_documents.RouteSpec(
         name='large', kind='safe', service='pooled', timeout='20s'
     ),
+    gateway_documents.RouteSpec(
+        name='long', kind='safe', service='pooled', timeout='20s'
+    ),
+)
+_BYTES_BY_PATH = types.MappingProxyType(
+    {'/large/': LARGE_ANSWER_BYTES, '/long/': LONG_ANSWER_BYTES}
 )
 
 
@@ -77,6 +87,14 @@
     return unread_bytes
 
 
+async def _stop(clients: list[asyncio.Future[None]]) -> None:
+    for client in clients:
+        client.cancel()
+    await asyncio.wait(clients)
+    # Before their sockets are closed, the loop has to know that they stopped.
+    await asyncio.sleep(0)
+
+
 class Crowd:
     """Connections of a crowd, which stay open until `close`."""
 
@@ -135,6 +153,21 @@
                     await loop.sock_sendall(connection, piece)
             await asyncio.sleep(_POLL_SECONDS)
 
+    async def leave_often(self, request: bytes, seconds: float) -> None:
+        """Send a request again and again, and leave some time after it.
+
+        What was answered meanwhile stays unread.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            with contextlib.suppress(OSError):
+                connection = await self.connect()
+                await loop.sock_sendall(connection, request)
+                await asyncio.sleep(seconds)
+                self.sockets.remove(connection)
+                connection.close()
+            await asyncio.sleep(_SLOW_SECONDS)
+
     def close(self) -> None:
         """Close all connections."""
         for connection in self.sockets:
@@ -143,16 +176,19 @@
 
 
 class LargeAnswers(gateway_upstream.Upstream):
-    """Upstream whose answers under `/large/` have a long body."""
+    """Upstream whose answers under some paths have a long body."""
 
     async def answer(
         self, request: httputil.HTTPServerRequest
     ) -> standin_server.Answer | None:
         """Answer a request."""
         answer = await super().answer(request)
-        if answer is None or not request.path.startswith('/large/'):
-            return answer
-        return dataclasses.replace(answer, body='x' * LARGE_ANSWER_BYTES)
+        if answer is None:
+            return None
+        for path, size in _BYTES_BY_PATH.items():
+            if request.path.startswith(path):
+                return dataclasses.replace(answer, body='x' * size)
+        return answer
 
 
 def make_head(method: str, path: str, number: int, *lines: str) -> bytes:
@@ -328,6 +364,13 @@
         await self.assert_answered('POST', '/write/x', b'x' * 10_000)
         self.assert_within_limits()
 
+    def start_clients(
+        self, clients: Iterable[Coroutine[None, None, None]]
+    ) -> None:
+        """Run clients of a crowd until the end of the test."""
+        running = [asyncio.ensure_future(client) for client in clients]
+        self.addAsyncCleanup(_stop, running)
+
     async def _measure_memory(self) -> None:
         while True:
             self.peak_bytes = max(
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -28,6 +28,9 @@
 #: Some fewer than fit in the buffers of a connection.
 _ANSWERS_IN_BUFFERS = 4
 _SECONDS_UNREAD = 5
+_LEAVING_CROWD = 30
+_LEFT_BODY_BYTES = 1_000_000
+_SECONDS_BEFORE_LEAVING = 0.3
 _IDLE_CROWD = 200
 _WAVES = 16
 _WAVES_SEED = 5
@@ -120,14 +123,10 @@
         head = crowd_fixtures.make_head(
             'POST', '/pool/x', 0, 'Transfer-Encoding: chunked'
         )
-        clients = [
-            asyncio.ensure_future(
-                self.crowd.send_without_end(head, _CHUNKS_PIECE)
-            )
+        self.start_clients(
+            self.crowd.send_without_end(head, _CHUNKS_PIECE)
             for _ in range(_CHUNKS_CROWD)
-        ]
-        for client in clients:
-            self.addCleanup(client.cancel)
+        )
         await asyncio.sleep(_SECONDS_UNREAD)
         await self.assert_survives()
 
@@ -171,6 +170,37 @@
         await self.assert_survives()
 
 
+class LeavingClientsTest(crowd_fixtures.CrowdTestCase):
+    """A gateway process with 120 MB, and clients that leave."""
+
+    async def test_clients_that_leave_their_answers(self) -> None:
+        """Guard against answers that stay after their readers have left."""
+        self.start_clients(
+            self.crowd.leave_often(
+                crowd_fixtures.make_head('GET', '/long/x', number),
+                _SECONDS_BEFORE_LEAVING,
+            )
+            for number in range(_LEAVING_CROWD)
+        )
+        await asyncio.sleep(_SECONDS_UNREAD)
+        await self.assert_survives()
+
+    async def test_clients_that_leave_their_requests(self) -> None:
+        """Guard against bodies that stay after their senders have left."""
+        self.upstream.finish_allowed.clear()
+        length = f'Content-Length: {_LEFT_BODY_BYTES}'
+        self.start_clients(
+            self.crowd.leave_often(
+                crowd_fixtures.make_head('POST', '/pool/x', number, length)
+                + b'x' * _LEFT_BODY_BYTES,
+                _SECONDS_BEFORE_LEAVING,
+            )
+            for number in range(_LEAVING_CROWD)
+        )
+        await asyncio.sleep(_SECONDS_UNREAD)
+        await self.assert_survives()
+
+
 class SmallestVmTest(crowd_fixtures.CrowdTestCase):
     """A gateway process with the limits of the smallest VM."""
 
