Let slow callers make way when memory or connections run out

Callers that read long answers at 480 kbit/s, or sent large bodies so, kept all others out for as long as they liked: ordinary requests got 503 memory_short or no connection, 30 tries of 30.

Cause: whoever moved 16 KiB in a second (uploads), or a piece of 64 KiB in 3 s (readers), counted as making progress, and what makes progress makes way for nobody. 43 answers of 1 MB are all the memory that a VM of 120 MB has for callers.

A transfer now has a pace: 375,000 bytes in 3 s, 1 Mbit/s, a fifth of the slowest link that the platform promises. What falls behind it goes when a claim or a new connection can't be met otherwise, after all that stands still or hasn't run. A large claim cuts no small transfer. Alone, a slow caller is served as before.

The tests of the account cover the order.

--- a/src/lentilgauge/callers/answers.py
+++ b/src/lentilgauge/callers/answers.py
@@ -13,6 +13,7 @@
     connection_memory,
     gateway_request,
     memory_account,
+    transfer_pace,
 )
 from lentilgauge.callers import exchange as exchange_module
 from lentilgauge.links import (
@@ -258,10 +259,12 @@
         connection_limits.close_connection(gateway.connections, stream)
         stream.close()
 
+    now_ms = gateway.now_ms()
     holding = memory_account.Holding(
         kind=memory_account.Kind.REPLIES,
         held_bytes=held_bytes,
-        moved_ms=gateway.now_ms(),
+        moved_ms=now_ms,
+        pace=transfer_pace.Pace(since_ms=now_ms),
         drop=close_connection,
     )
     memory_account.hold(gateway.account, holding)
--- a/src/lentilgauge/callers/body_intake.py
+++ b/src/lentilgauge/callers/body_intake.py
@@ -11,7 +11,7 @@
 from tornado import httputil
 
 from lentilgauge import clock
-from lentilgauge.callers import memory_account
+from lentilgauge.callers import memory_account, transfer_pace
 
 #: Python raises at numbers of over 4,300 digits; the HTTP library rejects those
 #: over its limit of size.
@@ -82,6 +82,7 @@
         kind=memory_account.Kind.UPLOADS,
         held_bytes=length,
         moved_ms=started_ms,
+        pace=transfer_pace.Pace(since_ms=started_ms),
         drop=drop,
         is_unsent=is_unsent,
     )
@@ -131,6 +132,7 @@
 
 def complete(intake: Intake) -> None:
     """Record that the body is complete; it is no longer dropped for others."""
+    intake.holding.pace = None
     memory_account.change_kind(
         intake.account, intake.holding, memory_account.Kind.REQUESTS
     )
--- a/src/lentilgauge/callers/connection_memory.py
+++ b/src/lentilgauge/callers/connection_memory.py
@@ -8,7 +8,7 @@
 
 from tornado import httputil, iostream
 
-from lentilgauge.callers import memory_account
+from lentilgauge.callers import memory_account, transfer_pace
 
 #: A request without its head and body: its task, and a transfer to an upstream.
 _REQUEST_BYTES = 32_768
@@ -94,8 +94,9 @@
 def drop_slowest(account: memory_account.Account, now_ms: int) -> bool:
     """Drop a transfer for the connection it takes; return whether one was.
 
-    The load addressed is many answers that nobody reads, and requests that wait
-    for an upstream: the one that stands still for longest goes.
+    The load addressed is many answers that are read slowly or by nobody, and
+    requests that wait for an upstream. The first to go is what stands still for
+    longest, the last what is slow only.
     """
     slowest = min(
         (
@@ -103,10 +104,12 @@
             for holding in account.holdings
             if memory_account.is_stalled(holding, now_ms)
             or memory_account.is_unfinished(holding)
+            or transfer_pace.is_slow(holding.pace, now_ms)
         ),
         key=lambda holding: (
             not memory_account.is_stalled(holding, now_ms),
-            holding.moved_ms,
+            not memory_account.is_unfinished(holding),
+            holding.pace.since_ms if holding.pace else holding.moved_ms,
         ),
         default=None,
     )
--- a/src/lentilgauge/callers/memory_account.py
+++ b/src/lentilgauge/callers/memory_account.py
@@ -16,6 +16,8 @@
 
 from tornado import iostream
 
+from lentilgauge.callers import transfer_pace
+
 #: Bodies and replies up to this size are ordinary: they may use the reserve.
 #: The largest usual ones have about 1 MB.
 ORDINARY_BYTES = 1_048_576
@@ -78,9 +80,10 @@
     """Bytes that one transfer holds.
 
     `moved_ms` is when it last made progress, and `unmarked_bytes` what it moved
-    since. `drop` ends the transfer, which frees its memory. `is_unsent` returns
-    whether its request has been sent to no upstream yet, so that it can be
-    refused as not run; `bool` says no.
+    since. `pace` is that of a transfer from or to a caller. `drop` ends the
+    transfer, which frees its memory. `is_unsent` returns whether its request
+    has been sent to no upstream yet, so that it can be refused as not run;
+    `bool` says no.
     """
 
     kind: Kind
@@ -88,6 +91,7 @@
     moved_ms: int
     drop: Callable[[], None]
     unmarked_bytes: int = 0
+    pace: transfer_pace.Pace | None = None
     is_unsent: Callable[[], bool] = bool
 
 
@@ -132,7 +136,7 @@
     }
 )
 #: What each claim may displace, if it is larger than this number of bytes and
-#: unfinished. A large upload displaces only what has stalled.
+#: unfinished. A large upload displaces only what has stalled, or is slow.
 _SMALLEST_DISPLACED_BY_CLAIM = types.MappingProxyType(
     {
         Claim.LARGE_UPLOAD: sys.maxsize,
@@ -142,6 +146,8 @@
         Claim.LARGE_REPLY: ORDINARY_BYTES,
     }
 )
+#: These displace slow transfers only if they are large as well.
+_LARGE_CLAIMS = frozenset((Claim.LARGE_UPLOAD, Claim.LARGE_REPLY))
 
 
 def make_account(memory_mb: int) -> Account:
@@ -197,12 +203,17 @@
 ) -> list[Holding]:
     """List the transfers that a claim may displace, the first to go first."""
     smallest_bytes = _SMALLEST_DISPLACED_BY_CLAIM[claim]
+    smallest_slow_bytes = ORDINARY_BYTES if claim in _LARGE_CLAIMS else 0
     return sorted(
         (
             holding
             for holding in account.holdings
             if is_stalled(holding, now_ms)
             or (holding.held_bytes > smallest_bytes and is_unfinished(holding))
+            or (
+                holding.held_bytes > smallest_slow_bytes
+                and transfer_pace.is_slow(holding.pace, now_ms)
+            )
         ),
         key=lambda holding: (
             not is_stalled(holding, now_ms),
@@ -220,9 +231,10 @@
 
     The load addressed is many requests or unread answers at once: stalled
     uploads are dropped first, then stalled readers, then uploads and requests
-    that wait for an upstream, the largest first. A claim displaces only what is
-    larger than its own class, a large upload only stalled transfers. Requests
-    in flight are never dropped, as they may have run.
+    that wait for an upstream, then slow readers, the largest first. A claim
+    displaces only what is larger than its own class, or slow, a large upload
+    only stalled and slow transfers. Requests in flight are never dropped, as
+    they may have run.
     """
     excess_bytes = compute_excess(account, claim, wanted_bytes)
     drops: list[Holding] = []
@@ -304,6 +316,8 @@
 
 def mark_progress(holding: Holding, moved_bytes: int, now_ms: int) -> None:
     """Record that a transfer moved bytes; a trickle isn't progress."""
+    if holding.pace is not None:
+        transfer_pace.mark_moved(holding.pace, moved_bytes, now_ms)
     holding.unmarked_bytes += moved_bytes
     if holding.unmarked_bytes >= _PROGRESS_BYTES:
         holding.unmarked_bytes = 0
--- a/tests/crowd_fixtures.py
+++ b/tests/crowd_fixtures.py
@@ -37,6 +37,8 @@
 #: Still an ordinary size.
 LONG_ANSWER_BYTES = 1_000_000
 _RECEIVE_BUFFER = 4096
+#: A slow client moves this many bytes in each interval, 480 kbit/s.
+_SLOW_BYTES = 6000
 _SLOW_SECONDS = 0.1
 #: Time for which a client of a crowd tries to connect or to send.
 _CLIENT_SECONDS = 10
@@ -87,6 +89,13 @@
     return unread_bytes
 
 
+async def _send_slowly(connection: socket.socket) -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        await loop.sock_sendall(connection, b'x' * _SLOW_BYTES)
+        await asyncio.sleep(_SLOW_SECONDS)
+
+
 async def _stop(clients: list[asyncio.Future[None]]) -> None:
     for client in clients:
         client.cancel()
@@ -103,13 +112,15 @@
         self.port = port
         self.sockets: list[socket.socket] = []
 
-    async def connect(self) -> socket.socket:
+    async def connect(
+        self, receive_buffer: int = _RECEIVE_BUFFER
+    ) -> socket.socket:
         """Open a connection whose receive window is small."""
         connection = socket.socket()
         self.sockets.append(connection)
         connection.setblocking(False)
         connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
         )
         loop = asyncio.get_running_loop()
         await loop.sock_connect(connection, ('127.0.0.1', self.port))
@@ -153,6 +164,29 @@
                     await loop.sock_sendall(connection, piece)
             await asyncio.sleep(_POLL_SECONDS)
 
+    async def read_slowly(self, requests: bytes) -> None:
+        """Send requests again and again, and read the answers slowly."""
+        loop = asyncio.get_running_loop()
+        while True:
+            with contextlib.suppress(OSError):
+                connection = await self.connect(4 * _SLOW_BYTES)
+                await loop.sock_sendall(connection, requests)
+                received = await loop.sock_recv(connection, _SLOW_BYTES)
+                while received:
+                    await asyncio.sleep(_SLOW_SECONDS)
+                    received = await loop.sock_recv(connection, _SLOW_BYTES)
+            await asyncio.sleep(_SLOW_SECONDS)
+
+    async def send_slowly(self, head: bytes) -> None:
+        """Send a body that doesn't end slowly, on new connections as needed."""
+        loop = asyncio.get_running_loop()
+        while True:
+            with contextlib.suppress(OSError):
+                connection = await self.connect()
+                await loop.sock_sendall(connection, head)
+                await _send_slowly(connection)
+            await asyncio.sleep(_SLOW_SECONDS)
+
     async def leave_often(self, request: bytes, seconds: float) -> None:
         """Send a request again and again, and leave some time after it.
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -28,9 +28,15 @@
 #: Some fewer than fit in the buffers of a connection.
 _ANSWERS_IN_BUFFERS = 4
 _SECONDS_UNREAD = 5
+_SLOW_READERS_CROWD = 120
+_LONG_ANSWERS_EACH = 8
 _LEAVING_CROWD = 30
 _LEFT_BODY_BYTES = 1_000_000
 _SECONDS_BEFORE_LEAVING = 0.3
+_BUSY_CROWD = 120
+_SLOW_UPLOADS_CROWD = 30
+_SLOW_UPLOAD_BYTES = 2_000_000
+_ORDINARY_UPLOAD_BYTES = 2_000_000
 _IDLE_CROWD = 200
 _WAVES = 16
 _WAVES_SEED = 5
@@ -170,6 +176,37 @@
         await self.assert_survives()
 
 
+class SlowClientsTest(crowd_fixtures.CrowdTestCase):
+    """A gateway process with 120 MB, and clients that always make progress."""
+
+    async def test_slow_readers(self) -> None:
+        """Guard against answers that take all memory, as they are read."""
+        requests = b''.join(
+            crowd_fixtures.make_head('GET', '/long/x', number)
+            for number in range(_LONG_ANSWERS_EACH)
+        )
+        self.start_clients(
+            self.crowd.read_slowly(requests) for _ in range(_SLOW_READERS_CROWD)
+        )
+        await asyncio.sleep(_SECONDS_UNREAD)
+        await self.assert_survives()
+
+    async def test_slow_uploads(self) -> None:
+        """Guard against large bodies that keep all others out."""
+        length = f'Content-Length: {_SLOW_UPLOAD_BYTES}'
+        self.start_clients(
+            self.crowd.send_slowly(
+                crowd_fixtures.make_head('POST', '/pool/x', number, length)
+            )
+            for number in range(_SLOW_UPLOADS_CROWD)
+        )
+        await asyncio.sleep(_SECONDS_UNREAD)
+        await self.assert_answered(
+            'POST', '/write/x', b'x' * _ORDINARY_UPLOAD_BYTES
+        )
+        self.assert_within_limits()
+
+
 class LeavingClientsTest(crowd_fixtures.CrowdTestCase):
     """A gateway process with 120 MB, and clients that leave."""
 
@@ -201,6 +238,28 @@
         await self.assert_survives()
 
 
+class BusyConnectionsTest(crowd_fixtures.CrowdTestCase):
+    """A gateway process with few descriptors, and memory for all its callers.
+
+    Each connection of the crowd is always busy, and none stands still.
+    """
+
+    memory_mb: ClassVar[int] = 300
+    max_fds: ClassVar[int] = 400
+
+    async def test_slow_readers_of_long_answers(self) -> None:
+        """Guard against long answers that are being read on all connections."""
+        requests = b''.join(
+            crowd_fixtures.make_head('GET', '/long/x', number)
+            for number in range(_LONG_ANSWERS_EACH)
+        )
+        self.start_clients(
+            self.crowd.read_slowly(requests) for _ in range(_BUSY_CROWD)
+        )
+        await asyncio.sleep(_SECONDS_UNREAD)
+        await self.assert_survives()
+
+
 class SmallestVmTest(crowd_fixtures.CrowdTestCase):
     """A gateway process with the limits of the smallest VM."""
 
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -10,6 +10,7 @@
     connection_limits,
     memory_account,
     memory_watch,
+    transfer_pace,
 )
 
 _MEMORY_MB = 160
@@ -18,6 +19,8 @@
 _STARTED_MS = 1_000_000
 #: Longer than any time after which a transfer counts as stalled.
 _LONG_MS = 10_000
+#: Time after which a transfer with a small part of its pace is slow.
+_SLOW_SECONDS = 3
 
 
 class AccountTestCase(unittest.TestCase):
@@ -130,6 +133,40 @@
         memory_account.mark_progress(holding, 65_536, self.now_ms)
         self.assertFalse(memory_account.is_stalled(holding, self.now_ms))
 
+    def hold_reply(self, name: str, held_bytes: int) -> memory_account.Holding:
+        """Count an answer that a caller reads."""
+        holding = self.hold(name, held_bytes, memory_account.Kind.REPLIES)
+        holding.pace = transfer_pace.Pace(since_ms=self.now_ms)
+        return holding
+
+    def test_a_slow_reader_makes_way(self) -> None:
+        """Guard against readers that hold all memory, one byte at a time."""
+        readers = [
+            (self.hold_reply('slow', self.account.limit_bytes // 2), 60_000),
+            (self.hold_reply('fast', self.account.limit_bytes // 2), 600_000),
+        ]
+        for _ in range(_SLOW_SECONDS):
+            self.assertFalse(self.make_room(memory_account.Claim.SMALL, 1000))
+            self.now_ms += 1000
+            for holding, bytes_per_second in readers:
+                memory_account.mark_progress(
+                    holding, bytes_per_second, self.now_ms
+                )
+        self.assertTrue(self.make_room(memory_account.Claim.SMALL, 1000))
+        self.assertEqual(self.dropped, ['slow'])
+
+    def test_a_large_claim_displaces_no_small_reader(self) -> None:
+        """Guard against many answers that are cut for one large body."""
+        for number in range(self.account.limit_bytes // _SMALL_BYTES):
+            self.hold_reply(str(number), _SMALL_BYTES).moved_ms += _LONG_MS
+        self.now_ms += _LONG_MS
+        for claim in (
+            memory_account.Claim.LARGE_UPLOAD,
+            memory_account.Claim.LARGE_REPLY,
+        ):
+            self.assertFalse(self.make_room(claim, _LARGE_BYTES))
+        self.assertEqual(self.dropped, [])
+
     def test_small_replies_are_received_without_memory(self) -> None:
         """Guard against a granter that loses its role for lack of memory."""
         self.hold(
