Let connections that are always busy make way for new ones

Callers that send their next requests before the last one is answered kept all others out of a ready gateway: 120 of them on 80 connections, with requests for an unknown path, and no ordinary request got a connection in 30 tries.

Cause: a new connection takes the place of one that is idle, stands still, is slow or waits for an upstream. On such connections the next request begins in the same round of the event loop, so that none of them is ever idle, and none is any of the others.

A connection that was refused is now owed: the next one that is answered ends with that answer, up to 16 at a time, and the answer says so. Long answers don't announce it, as they may take long to be read.

--- a/src/lentilgauge/callers/answers.py
+++ b/src/lentilgauge/callers/answers.py
@@ -180,6 +180,10 @@
         connection_limits.mark_ending(
             exchange.gateway.connections, exchange.connection.stream
         )
+    elif len(body) <= _PIECE_BYTES and connection_limits.retire(
+        exchange.gateway.connections, exchange.connection.stream
+    ):
+        headers['Connection'] = 'close'
     start_line = httputil.ResponseStartLine(
         'HTTP/1.1',
         status,
--- a/src/lentilgauge/callers/caller_server.py
+++ b/src/lentilgauge/callers/caller_server.py
@@ -170,6 +170,7 @@
 
     def _may_open(self, stream: iostream.IOStream) -> bool:
         if not connection_memory.open_connection(self.account, self.now_ms()):
+            connection_limits.want_room(self.connections)
             return False
         if connection_limits.open_connection(self.connections, stream):
             return True
--- a/src/lentilgauge/callers/connection_limits.py
+++ b/src/lentilgauge/callers/connection_limits.py
@@ -16,6 +16,8 @@
 #: upstream at the same time, so upstreams get the same part. A fifth is left to
 #: peers, the store, metrics and readiness: 287 of the smallest VM's 1,638.
 _CALLERS_PART = 0.4
+#: Connections that end with their next answers, for others that were refused.
+_MAX_WANTED = 16
 
 Streams = collections.OrderedDict[iostream.BaseIOStream, None]
 
@@ -27,7 +29,9 @@
     Of the `open_streams`, `incomplete` are those of which no complete request
     has arrived, and `kept` those whose last request was answered; both begin
     with the one that moved least recently. All others are being served. On
-    those that are `ending`, an answer announced that it is the last.
+    those that are `ending`, an answer announced that it is the last. As many as
+    are `wanted` end with their next answers, and the `retiring` ones once the
+    answer that is being written is complete.
     `report_eviction` is called when a connection is closed for the limit.
     `drop_busy` ends one whose request waits or whose answer isn't read, and
     returns whether there was one (`bool` says no). `release` is called once for
@@ -46,6 +50,10 @@
     )
     kept: Streams = dataclasses.field(default_factory=collections.OrderedDict)
     ending: set[iostream.BaseIOStream] = dataclasses.field(default_factory=set)
+    wanted: int = 0
+    retiring: set[iostream.BaseIOStream] = dataclasses.field(
+        default_factory=set
+    )
 
 
 def compute_limit(max_descriptors: int) -> int:
@@ -108,11 +116,12 @@
     """Count a new connection; return whether it may be served.
 
     If there are too many, another one is closed, or else the new one is
-    refused.
+    refused. The next one has better prospects then.
     """
     open_count = len(connections.open_streams)
     is_full = bool(connections.limit) and open_count >= connections.limit
     if is_full and not evict(connections):
+        want_room(connections)
         return False
     connections.open_streams.add(stream)
     connections.incomplete[stream] = None
@@ -127,6 +136,7 @@
         connections.open_streams.discard(stream)
         connections.release(stream)
     connections.ending.discard(stream)
+    connections.retiring.discard(stream)
     connections.incomplete.pop(stream, None)
     connections.kept.pop(stream, None)
 
@@ -147,16 +157,40 @@
     connections.incomplete.pop(stream, None)
 
 
+def want_room(connections: Connections) -> None:
+    """Let one more connection end with its next answer.
+
+    The load addressed is connections on which the next request is there before
+    the last one is answered, so that none is ever kept.
+    """
+    connections.wanted = min(connections.wanted + 1, _MAX_WANTED)
+
+
+def retire(connections: Connections, stream: iostream.BaseIOStream) -> bool:
+    """Return whether a connection ends with the answer about to be written."""
+    if connections.wanted and stream in connections.open_streams:
+        connections.wanted -= 1
+        connections.retiring.add(stream)
+    return stream in connections.retiring
+
+
 def mark_kept(connections: Connections, stream: iostream.BaseIOStream) -> None:
     """Record that a connection waits for a request, its last one answered.
 
-    A new connection has had none and stays incomplete. The end of a request's
-    task would be too late: the next request may have arrived before.
+    A new connection has had none and stays incomplete, and one that others want
+    is closed. The end of a request's task would be too late: the next request
+    may have arrived before.
     """
-    if stream not in connections.incomplete and (
-        stream in connections.open_streams
+    if stream in connections.incomplete or (
+        stream not in connections.open_streams
     ):
-        connections.kept[stream] = None
+        return
+    if retire(connections, stream):
+        connections.report_eviction()
+        close_connection(connections, stream)
+        stream.close()
+        return
+    connections.kept[stream] = None
 
 
 def mark_ending(
--- a/tests/crowd_fixtures.py
+++ b/tests/crowd_fixtures.py
@@ -37,6 +37,7 @@
 #: Still an ordinary size.
 LONG_ANSWER_BYTES = 1_000_000
 _RECEIVE_BUFFER = 4096
+_WIDE_RECEIVE_BUFFER = 65_536
 #: A slow client moves this many bytes in each interval, 480 kbit/s.
 _SLOW_BYTES = 6000
 _SLOW_SECONDS = 0.1
@@ -89,6 +90,25 @@
     return unread_bytes
 
 
+async def _pipeline(connection: socket.socket, requests: bytes) -> None:
+    loop = asyncio.get_running_loop()
+    reading = asyncio.ensure_future(_discard_answers(connection))
+    try:
+        while not reading.done():
+            await loop.sock_sendall(connection, requests)
+    finally:
+        reading.cancel()
+
+
+async def _discard_answers(connection: socket.socket) -> None:
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(OSError):
+        received = await loop.sock_recv(connection, _WIDE_RECEIVE_BUFFER)
+        while received:
+            await asyncio.sleep(0)
+            received = await loop.sock_recv(connection, _WIDE_RECEIVE_BUFFER)
+
+
 async def _send_slowly(connection: socket.socket) -> None:
     loop = asyncio.get_running_loop()
     while True:
@@ -177,6 +197,14 @@
                     received = await loop.sock_recv(connection, _SLOW_BYTES)
             await asyncio.sleep(_SLOW_SECONDS)
 
+    async def pipeline(self, requests: bytes) -> None:
+        """Send requests without a pause, and read the answers at once."""
+        while True:
+            with contextlib.suppress(OSError):
+                connection = await self.connect(_WIDE_RECEIVE_BUFFER)
+                await _pipeline(connection, requests)
+            await asyncio.sleep(_POLL_SECONDS)
+
     async def send_slowly(self, head: bytes) -> None:
         """Send a body that doesn't end slowly, on new connections as needed."""
         loop = asyncio.get_running_loop()
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -106,6 +106,14 @@
         answer = await self.exchange(head + _NEXT)
         self.assert_one_answer(answer, 200)
 
+    async def test_nothing_runs_behind_an_answer_that_makes_room(self) -> None:
+        """Guard against the same if other callers want the connection."""
+        connection_limits.want_room(self.gateway.connections)
+        answer = await self.exchange(make_head('GET /read/1 HTTP/1.1') + _NEXT)
+        self.assert_one_answer(answer, 200)
+        self.assertFalse(self.gateway.connections.open_streams)
+        self.assertFalse(self.gateway.connections.retiring)
+
     async def test_a_refused_head_request_is_answered(self) -> None:
         """Guard against a body in the answer, which ends the connection."""
         self.gateway.state_cache.configuration = None
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Coroutine
 from typing import ClassVar
 
 from tests import crowd_fixtures
@@ -34,6 +35,7 @@
 _LEFT_BODY_BYTES = 1_000_000
 _SECONDS_BEFORE_LEAVING = 0.3
 _BUSY_CROWD = 120
+_PIPELINED_EACH = 200
 _SLOW_UPLOADS_CROWD = 30
 _SLOW_UPLOAD_BYTES = 2_000_000
 _ORDINARY_UPLOAD_BYTES = 2_000_000
@@ -249,13 +251,37 @@
 
     async def test_slow_readers_of_long_answers(self) -> None:
         """Guard against long answers that are being read on all connections."""
-        requests = b''.join(
-            crowd_fixtures.make_head('GET', '/long/x', number)
-            for number in range(_LONG_ANSWERS_EACH)
+        await self.assert_lets_others_in(
+            self.crowd.read_slowly, '/long/x', _LONG_ANSWERS_EACH
         )
-        self.start_clients(
-            self.crowd.read_slowly(requests) for _ in range(_BUSY_CROWD)
+
+    async def test_slow_readers_of_many_answers(self) -> None:
+        """Guard against the same with one shorter answer after the other."""
+        await self.assert_lets_others_in(
+            self.crowd.read_slowly, '/large/x', _ANSWERS_EACH
+        )
+
+    async def test_requests_without_a_pause(self) -> None:
+        """Guard against connections on which the next request is there."""
+        await self.assert_lets_others_in(
+            self.crowd.pipeline, '/unknown', _PIPELINED_EACH
+        )
+
+    async def assert_lets_others_in(
+        self,
+        run_client: Callable[[bytes], Coroutine[None, None, None]],
+        path: str,
+        count: int,
+    ) -> None:
+        """Check that a crowd of clients leaves connections to others.
+
+        Each gets the requests that it sends again and again.
+        """
+        requests = b''.join(
+            crowd_fixtures.make_head('GET', path, number)
+            for number in range(count)
         )
+        self.start_clients(run_client(requests) for _ in range(_BUSY_CROWD))
         await asyncio.sleep(_SECONDS_UNREAD)
         await self.assert_survives()
 
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -357,6 +357,18 @@
         )
         self.assertTrue(self.open(FakeStream()))
 
+    def test_one_that_is_always_busy_makes_room(self) -> None:
+        """Guard against connections on which the next request is there."""
+        for index in range(3):
+            self.serve(index)
+        self.assertFalse(self.open(FakeStream()))
+        connection_limits.mark_kept(
+            self.connections,
+            self.streams[2],  # type: ignore[arg-type]
+        )
+        self.assertEqual(self.list_closed(), [2])
+        self.assertTrue(self.open(FakeStream()))
+
     def test_resident_memory_closes_unfinished_connections(self) -> None:
         """Guard against memory that the account doesn't count."""
         account = memory_account.make_account(_MEMORY_MB)
