Count the lines of replies' heads and trailers as memory

Faulty upstreams that sent heads or trailers of very many short lines made a gateway hold far more memory than its VM has, which ends the process and the requests of all others on it. 3 such upstreams took 37 MB, 400 and more took 465 to 710 of 160 MB.

Cause: the account of memory, and the bound for all replies of a client, counted bodies only. A line of five bytes takes over fifty here and more in curl, which keeps it until the transfer ends, and one head or trailer may have 5,000 lines.

Each line now counts, from the first, with what it takes here and in curl, in steps of 4 KiB. As for bodies, a reply may take no more than it leaves to the others, and small ones are always received. A reply for which there is no memory fails, and its connection is closed.

tests.test_endless_answers: 950 upstreams send at once to as many requests as a gateway with 160 MB admits, some 880.

--- a/src/lentilgauge/links/curl_transfers.py
+++ b/src/lentilgauge/links/curl_transfers.py
@@ -24,9 +24,9 @@
 _NO_LINGER = struct.pack('ii', 1, 0)
 
 HandleSetup = Callable[[pycurl.Curl], None]
-#: Counts the bytes of replies' bodies while they are received. It gets the size
-#: of the reply so far and the bytes added, or freed if negative, and returns
-#: whether the reply may take them.
+#: Counts the bytes that replies take while they are received. It gets those of
+#: the reply so far and those added, or freed if negative, and returns whether
+#: the reply may take them.
 ReplyCounter = Callable[[int, int], bool]
 
 
@@ -54,7 +54,7 @@
     """Running transfers, idle handles and their links to the event loop.
 
     `watched_descriptors` are the sockets registered with the event loop, and
-    `buffered_bytes` is the size of the bodies that running transfers buffer.
+    `buffered_bytes` is what the replies of running transfers take.
     """
 
     multi: pycurl.CurlMulti
--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -19,8 +19,7 @@
 _CURL_DEFAULT_HEADERS = ('User-Agent', 'Accept', 'Content-Type', 'Expect')
 #: Bytes of one reply's body; the largest usual ones have about 1 MB.
 MAX_REPLY_BYTES = 12_582_912
-#: Bytes of the bodies of all replies that a client is receiving; VMs have 200
-#: to 300 MB.
+#: Bytes of all replies that a client is receiving; VMs have 200 to 300 MB.
 MAX_BUFFERED_BYTES = 33_554_432
 #: curl errors for a reply that isn't HTTP, whose body length differs from the
 #: announced one, that takes too much memory, or that belongs to another call.
@@ -118,7 +117,7 @@
 ) -> Client:
     """Create a client with its own connection pool on the running loop.
 
-    `count_reply` is called for each part of a body that is received.
+    `count_reply` is called for the parts of replies as they are received.
     """
     driver = curl_transfers.make_driver(max_pooled_connections)
     driver.count_reply = count_reply
@@ -151,24 +150,40 @@
     return allow_send
 
 
-def _make_body_callback(
+def _make_byte_counter(
     partial_reply: reply_heads.PartialReply,
     driver: curl_transfers.TransferDriver,
-) -> Callable[[bytes], int]:
-    """Make the callback that buffers the body, or aborts the transfer.
+) -> Callable[[int], bool]:
+    """Make the function that takes memory for a reply, if there is enough.
 
     A reply may take no more than it leaves to the client's other replies, so
     that the large ones fail and small ones don't.
     """
 
+    def take_bytes(added_bytes: int) -> bool:
+        reply_bytes = partial_reply.counted_bytes + added_bytes
+        free_bytes = MAX_BUFFERED_BYTES - driver.buffered_bytes - added_bytes
+        if reply_bytes > free_bytes:
+            return False
+        if not driver.count_reply(reply_bytes, added_bytes):
+            return False
+        driver.buffered_bytes += added_bytes
+        partial_reply.counted_bytes = reply_bytes
+        return True
+
+    return take_bytes
+
+
+def _make_body_callback(
+    partial_reply: reply_heads.PartialReply,
+    take_bytes: Callable[[int], bool],
+) -> Callable[[bytes], int]:
+    """Make the callback that buffers the body, or aborts the transfer."""
+
     def buffer_chunk(chunk: bytes) -> int:
-        reply_bytes = partial_reply.body.tell() + len(chunk)
-        free_bytes = MAX_BUFFERED_BYTES - driver.buffered_bytes - len(chunk)
-        if reply_bytes > min(MAX_REPLY_BYTES, free_bytes):
-            return reply_heads.ABORT_TRANSFER
-        if not driver.count_reply(reply_bytes, len(chunk)):
+        body_bytes = partial_reply.body.tell() + len(chunk)
+        if body_bytes > MAX_REPLY_BYTES or not take_bytes(len(chunk)):
             return reply_heads.ABORT_TRANSFER
-        driver.buffered_bytes += len(chunk)
         return partial_reply.body.write(chunk)
 
     return buffer_chunk
@@ -225,6 +240,7 @@
     driver: curl_transfers.TransferDriver,
 ) -> curl_transfers.HandleSetup:
     """Make the function that configures a curl handle for one call."""
+    take_bytes = _make_byte_counter(partial_reply, driver)
 
     def set_up_handle(curl: pycurl.Curl) -> None:
         _set_address(curl, call)
@@ -236,12 +252,12 @@
         curl.setopt(
             pycurl.HEADERFUNCTION,
             reply_heads.make_header_callback(
-                partial_reply, call.expected_reply_header
+                partial_reply, call.expected_reply_header, take_bytes
             ),
         )
         curl.setopt(
             pycurl.WRITEFUNCTION,
-            _make_body_callback(partial_reply, driver),
+            _make_body_callback(partial_reply, take_bytes),
         )
         _set_connection_options(curl, call)
         _set_body(curl, call)
@@ -290,9 +306,9 @@
             _make_setup(call, partial_reply, driver),
         )
     finally:
-        received_bytes = partial_reply.body.tell()
-        driver.buffered_bytes -= received_bytes
-        driver.count_reply(0, -received_bytes)
+        counted_bytes = partial_reply.counted_bytes
+        driver.buffered_bytes -= counted_bytes
+        driver.count_reply(0, -counted_bytes)
     if transfer_end.code:
         return result.Failure(
             classify_failure(transfer_end, partial_reply.send_count),
--- a/src/lentilgauge/links/reply_heads.py
+++ b/src/lentilgauge/links/reply_heads.py
@@ -35,6 +35,12 @@
 _LINE_END = b'\r\n'
 #: Lines that end a head.
 _BLANK_LINES = frozenset((_LINE_END, b'\n'))
+#: What a line of a head or trailer takes besides its characters, here and in
+#: curl, and how often each character is kept.
+_LINE_BYTES = 192
+_COPIES = 2
+#: Lines are counted once they take this much together.
+_COUNTED_BYTES = 4096
 #: Returned by curl's callbacks to abort the transfer.
 ABORT_TRANSFER = 0
 
@@ -45,13 +51,17 @@
 
     `head_status` is the status of the head being read, 0 between heads, and
     `final_status` that of the final head, 0 until its blank line has arrived.
-    `last_line` is the last line of a head.
+    `last_line` is the last line of a head. `counted_bytes` is what the reply
+    takes of the memory for replies, without `uncounted_bytes` of its last
+    lines.
     """
 
     send_count: int = 0
     head_status: int = 0
     final_status: int = 0
     last_line: bytes = b''
+    counted_bytes: int = 0
+    uncounted_bytes: int = 0
     header_lines: list[bytes] = dataclasses.field(default_factory=list)
     body: io.BytesIO = dataclasses.field(default_factory=io.BytesIO)
 
@@ -109,31 +119,59 @@
     return _is_mismatched(line, expected_reply_header)
 
 
+def _take_line(
+    partial_reply: PartialReply, line: bytes, take_bytes: Callable[[int], bool]
+) -> bool:
+    """Count a line; return whether there is memory for it.
+
+    The load addressed is heads and trailers of very many short lines.
+    """
+    partial_reply.uncounted_bytes += _LINE_BYTES + _COPIES * len(line)
+    if partial_reply.uncounted_bytes < _COUNTED_BYTES:
+        return True
+    added_bytes = partial_reply.uncounted_bytes
+    partial_reply.uncounted_bytes = 0
+    return take_bytes(added_bytes)
+
+
+def _read_line(
+    partial_reply: PartialReply,
+    line: bytes,
+    expected_reply_header: tuple[str, str] | None,
+) -> int | None:
+    """Read a line of a head or trailer, or abort the transfer."""
+    if partial_reply.final_status:
+        # A trailer is no header, but has to be one of HTTP.
+        return None if _FIELD_LINE.fullmatch(line) else ABORT_TRANSFER
+    if not partial_reply.head_status:
+        return _start_head(partial_reply, line)
+    if line in _BLANK_LINES:
+        return _end_head(partial_reply, line)
+    if _is_unusable(partial_reply.head_status, line, expected_reply_header):
+        return ABORT_TRANSFER
+    partial_reply.header_lines.append(line)
+    partial_reply.last_line = line
+    return None
+
+
 def make_header_callback(
     partial_reply: PartialReply,
     expected_reply_header: tuple[str, str] | None,
+    take_bytes: Callable[[int], bool],
 ) -> Callable[[bytes], int | None]:
     """Make the callback that collects the header lines of the final reply.
 
-    It aborts the transfer at a line that HTTP doesn't allow, at a body of
-    unknown length, at an interim head with a length, and at a reply to another
-    call, so that curl closes the connection: later replies on it would be
-    mismatched as well.
+    `take_bytes` takes bytes of memory and returns whether there are so many.
+    The callback aborts the transfer if there aren't, at a line that HTTP
+    doesn't allow, at a body of unknown length, at an interim head with a
+    length, and at a reply to another call, so that curl closes the connection:
+    later replies on it would be mismatched as well.
     """
 
     def collect_line(line: bytes) -> int | None:
-        if partial_reply.final_status:
-            # A trailer is no header, but has to be one of HTTP.
-            return None if _FIELD_LINE.fullmatch(line) else ABORT_TRANSFER
-        if not partial_reply.head_status:
-            return _start_head(partial_reply, line)
-        if line in _BLANK_LINES:
-            return _end_head(partial_reply, line)
-        if _is_unusable(partial_reply.head_status, line, expected_reply_header):
-            return ABORT_TRANSFER
-        partial_reply.header_lines.append(line)
-        partial_reply.last_line = line
-        return None
+        if _take_line(partial_reply, line, take_bytes):
+            return _read_line(partial_reply, line, expected_reply_header)
+        return ABORT_TRANSFER
 
     return collect_line
 
--- a/tests/crowd_fixtures.py
+++ b/tests/crowd_fixtures.py
@@ -12,7 +12,7 @@
 import tempfile
 import types
 import unittest
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Collection, Coroutine, Iterable
 from typing import ClassVar
 
 from returns import result
@@ -77,15 +77,22 @@
     return 0
 
 
-def read_unread_bytes(port: int) -> int:
-    """Sum the bytes that connections to a port have received and not read."""
+def read_unread_bytes(port: int, upstream_ports: Collection[int] = ()) -> int:
+    """Sum the bytes that a process has received and not read.
+
+    Its connections are those to its port and those to upstreams' ports.
+    """
     lines = pathlib.Path('/proc/net/tcp').read_text(encoding='ascii')
-    local_end = f':{port:04X}'
     unread_bytes = 0
     for line in lines.splitlines()[1:]:
         fields = line.split()
+        local_port, remote_port = (
+            int(end.rpartition(':')[2], 16) for end in fields[1:3]
+        )
         # The queue of a listening socket is that of new connections.
-        if fields[1].endswith(local_end) and fields[3] != '0A':
+        if fields[3] != '0A' and (
+            local_port == port or remote_port in upstream_ports
+        ):
             unread_bytes += int(fields[4].partition(':')[2], 16)
     return unread_bytes
 
@@ -367,6 +374,7 @@
         self.addCleanup(self.crowd.close)
         self.status_counts: collections.Counter[int] = collections.Counter()
         self.peak_bytes = 0
+        self.upstream_ports: set[int] = set()
         await self.assert_answered('GET', '/read/x')
         self.meter = asyncio.ensure_future(self._measure_memory())
         self.addCleanup(self.meter.cancel)
@@ -438,6 +446,8 @@
             self.peak_bytes = max(
                 self.peak_bytes,
                 read_anonymous_bytes(self.gateway.pid)
-                + read_unread_bytes(self.gateway.ports.front),
+                + read_unread_bytes(
+                    self.gateway.ports.front, self.upstream_ports
+                ),
             )
             await asyncio.sleep(_SAMPLE_SECONDS)
