Send a request only if there is memory for its answer

Faulty upstreams that sent heads of long lines, all at once, made a gateway hold more memory than its VM has: 187 MB of 160, in anonymous memory and bytes that were received and not read.

Cause: nothing was counted for a call until a line was whole. curl collects up to 100 KiB of one before it hands it over, and the kernel receives up to 64 KiB for each connection while nothing is read. The 880 requests that a gateway of 160 MB has in flight can so hold 148 MB that the account doesn't see.

Each call now counts this much from its start. A request claims it before it is sent to an upstream, and is refused with 503 memory_short and Retry-After if there is none, as it hasn't run; if an earlier attempt may have run, that decides the answer. Calls to the store, peers and upstreams' control are counted and never refused. The claim leaves half of the reserve to replies in flight; it displaces what large replies do, and never its own request. Entries do the same.

More wait or are refused before they run.

tests.test_endless_answers, heads of long lines: failed with 187 MB before, passes with 92 MB after.

--- a/src/lentilgauge/callers/answers.py
+++ b/src/lentilgauge/callers/answers.py
@@ -36,15 +36,6 @@
 #: Closing a connection with unread bytes resets it, and the caller may lose the
 #: refusal.
 _LINGER_S = 2
-#: Stalled uploads are dropped after a second, so memory may be free by then.
-_MEMORY_RETRY_MS = 1000
-#: A request of which nothing has been sent to an upstream, so that it hasn't
-#: run.
-MEMORY_FAILURE = errors.Failure(
-    kind=errors.ErrorKind.MEMORY_SHORT,
-    detail='this gateway has no memory for the request at present',
-    retry_after_ms=_MEMORY_RETRY_MS,
-)
 
 
 def _record_metrics(exchange: exchange_module.Exchange, outcome: str) -> None:
@@ -318,7 +309,11 @@
     if exchange.stage is not exchange_module.Stage.RECEIVING:
         return
     exchange.gateway.metrics.count('memory_closed', memory_account.Kind.UPLOADS)
-    answer_failure(exchange, MEMORY_FAILURE, MEMORY_FAILURE.retry_after_ms)
+    answer_failure(
+        exchange,
+        memory_account.SHORTAGE,
+        memory_account.SHORTAGE.retry_after_ms,
+    )
 
 
 def drop_request(exchange: exchange_module.Exchange) -> None:
--- a/src/lentilgauge/callers/dispatch.py
+++ b/src/lentilgauge/callers/dispatch.py
@@ -6,8 +6,8 @@
 from returns import result
 
 from lentilgauge import clock, errors
+from lentilgauge.callers import memory_account, retries, routing
 from lentilgauge.callers import request as request_module
-from lentilgauge.callers import retries, routing
 from lentilgauge.links import http_client, upstream_data
 from lentilgauge.upstreams import concurrency_limiter
 from lentilgauge.vms import entry as entry_module
@@ -198,6 +198,13 @@
         # The key's slot moved while the request waited for the limiter. An
         # upstream that checks fencing tokens refuses such a request by itself.
         return upstream_data.NotSent(failure=_NO_OWNER)
+    if not memory_account.make_room(
+        entry.account,
+        memory_account.Claim.ATTEMPT,
+        http_client.UNSEEN_REPLY_BYTES,
+        started_ms,
+    ):
+        return upstream_data.NotSent(failure=memory_account.SHORTAGE)
     request.attempts += 1
     outcome = await upstream_data.send_dispatch(
         entry.client,
--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -10,8 +10,10 @@
     attempt_notices,
     authentication,
     gateway_request,
+    memory_account,
     permitted_upstreams,
     quota_permits,
+    reply_memory,
     retry_after,
     retry_budget,
     upstream_choice,
@@ -146,8 +148,12 @@
 def _check_attempt(
     gateway: gateway_module.Gateway, request: gateway_request.Request
 ) -> ForwardResult | None:
-    """Refuse an attempt if the key or the quota no longer allows it."""
+    """Refuse an attempt that the key, the memory or the quota doesn't allow."""
     failure = authentication.check_again(gateway, request)
+    if failure is None and not reply_memory.admit_attempt(
+        gateway.account, request, gateway.now_ms()
+    ):
+        failure = memory_account.SHORTAGE
     if failure is not None:
         return result.Failure(
             ForwardFailure(
--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -193,7 +193,7 @@
     """
     request = exchange.request
     if exchange.stage is exchange_module.Stage.DROPPED:
-        return answers.MEMORY_FAILURE
+        return memory_account.SHORTAGE
     if request is None or not request.attempts:
         return errors.Failure(
             kind=errors.ErrorKind.LEAVING,
--- a/src/lentilgauge/callers/memory_account.py
+++ b/src/lentilgauge/callers/memory_account.py
@@ -16,6 +16,7 @@
 
 from tornado import iostream
 
+from lentilgauge import errors
 from lentilgauge.callers import transfer_pace
 
 #: Bodies and replies up to this size are ordinary: they may use the reserve.
@@ -34,6 +35,15 @@
 #: An open connection: its objects, and what the HTTP library and the kernel may
 #: have received for it while nothing is read.
 CONNECTION_BYTES = 57_344
+#: Stalled uploads are dropped after a second, so memory may be free by then.
+_RETRY_MS = 1000
+#: A request of which nothing has been sent to an upstream, so that it hasn't
+#: run.
+SHORTAGE = errors.Failure(
+    kind=errors.ErrorKind.MEMORY_SHORT,
+    detail='this process has no memory for the request at present',
+    retry_after_ms=_RETRY_MS,
+)
 #: A transfer that moved fewer bytes than this within its kind's time has
 #: stalled: a caller with the slowest link of the platform, 5 Mbit/s, sends
 #: 600,000 bytes in a second.
@@ -65,12 +75,14 @@
     """What memory is wanted for.
 
     `LARGE` is over `ORDINARY_BYTES`, and `SMALL` a head or a body of up to
-    `SMALL_BYTES`.
+    `SMALL_BYTES`. `ATTEMPT` is what a request needs before it is sent to an
+    upstream.
     """
 
     SMALL = 'small'
     LARGE_UPLOAD = 'large_upload'
     UPLOAD = 'upload'
+    ATTEMPT = 'attempt'
     LARGE_REPLY = 'large_reply'
     REPLY = 'reply'
 
@@ -132,6 +144,7 @@
         Claim.LARGE_REPLY: 12,
         Claim.UPLOAD: 16,
         Claim.SMALL: 24,
+        Claim.ATTEMPT: 48,
         Claim.REPLY: sys.maxsize,
     }
 )
@@ -142,6 +155,7 @@
         Claim.LARGE_UPLOAD: sys.maxsize,
         Claim.SMALL: 0,
         Claim.UPLOAD: ORDINARY_BYTES,
+        Claim.ATTEMPT: ORDINARY_BYTES,
         Claim.REPLY: ORDINARY_BYTES,
         Claim.LARGE_REPLY: ORDINARY_BYTES,
     }
--- a/src/lentilgauge/links/http_client.py
+++ b/src/lentilgauge/links/http_client.py
@@ -21,6 +21,9 @@
 MAX_REPLY_BYTES = 12_582_912
 #: Bytes of all replies that a client is receiving; VMs have 200 to 300 MB.
 MAX_BUFFERED_BYTES = 33_554_432
+#: Bytes that a call may hold before any of its reply is counted: the longest
+#: line that curl collects, 100 KiB, and what the kernel receives, 64 KiB.
+UNSEEN_REPLY_BYTES = 167_936
 #: curl errors for a reply that isn't HTTP, whose body length differs from the
 #: announced one, that takes too much memory, or that belongs to another call.
 _INVALID_REPLY_CODES = frozenset(
@@ -117,7 +120,8 @@
 ) -> Client:
     """Create a client with its own connection pool on the running loop.
 
-    `count_reply` is called for the parts of replies as they are received.
+    `count_reply` is called for each call, and for the parts of its reply as
+    they are received.
     """
     driver = curl_transfers.make_driver(max_pooled_connections)
     driver.count_reply = count_reply
@@ -300,6 +304,7 @@
     driver: curl_transfers.TransferDriver, call: Call
 ) -> CallResult:
     partial_reply = reply_heads.PartialReply()
+    driver.count_reply(0, UNSEEN_REPLY_BYTES)
     try:
         transfer_end = await curl_transfers.run_transfer(
             driver,
@@ -308,7 +313,7 @@
     finally:
         counted_bytes = partial_reply.counted_bytes
         driver.buffered_bytes -= counted_bytes
-        driver.count_reply(0, -counted_bytes)
+        driver.count_reply(0, -counted_bytes - UNSEEN_REPLY_BYTES)
     if transfer_end.code:
         return result.Failure(
             classify_failure(transfer_end, partial_reply.send_count),
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -144,3 +144,7 @@
     async def test_bytes_that_are_no_answer(self) -> None:
         """Guard against bytes without a line end."""
         await self.assert_bounded(lambda *_: b'\1' * 1_000_000)
+
+    async def test_heads_of_long_lines(self) -> None:
+        """Guard against what is held of a line before its end arrives."""
+        await self.assert_bounded(lambda *_: _START + _LONG_LINES)
