Keep upstreams' errors during other attempts only if memory allows

Failing upstreams that answered with errors of 2 MB made a gateway hold 638 MB of 160, and ordinary requests got no answer.

Cause: after a server error an idempotent request is tried again, and the error is kept meanwhile, as it is the answer if the other attempt gets none. The account released it when it had been received. So each retry that its budget allows could hold an answer of up to 12 MB for as long as the next upstream took, up to the deadline.

The error counts until the request is answered, by its body and its parsed head. It is kept only while it leaves half of the memory for callers free, and displaces nothing; otherwise it is the answer at once. The heads and bodies of refusals, which answer no caller, are dropped.

The model in tests.test_reply_memory failed before: a request with half of the memory taken was tried twice.

--- a/src/lentilgauge/callers/connection_memory.py
+++ b/src/lentilgauge/callers/connection_memory.py
@@ -40,7 +40,12 @@
 
 
 def estimate_bytes(headers: httputil.HTTPHeaders) -> int:
-    """Return how many bytes a request takes besides its body.
+    """Return how many bytes a request takes besides its body."""
+    return _REQUEST_BYTES + estimate_head_bytes(headers)
+
+
+def estimate_head_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Return how many bytes a parsed head takes.
 
     A header of four characters takes a hundred times as much once it is parsed.
     """
@@ -49,7 +54,7 @@
     for name, text in headers.get_all():
         lines += 1
         characters += len(name) + len(text)
-    return _REQUEST_BYTES + lines * _HEADER_LINE_BYTES + characters * _COPIES
+    return lines * _HEADER_LINE_BYTES + characters * _COPIES
 
 
 def begin_request(
--- a/src/lentilgauge/callers/forwarding.py
+++ b/src/lentilgauge/callers/forwarding.py
@@ -82,6 +82,7 @@
         return _refuse_over_quota(gateway, request)
     finally:
         quota_permits.return_permit(gateway, request)
+        reply_memory.release_answer(gateway.account, request)
 
 
 async def _forward_permitted(
@@ -285,10 +286,10 @@
 ) -> bool:
     """Withdraw a retry from the budget if another attempt is safe and useful.
 
-    Return whether one was withdrawn. After a server error or an unknown outcome
-    another attempt is safe for idempotent requests only, as it may run the
-    request twice. After `UNSENT` another attempt would be safe, but it would
-    add retries when a full upstream resets connections.
+    After a server error or an unknown outcome it is safe for idempotent
+    requests only, as they may run twice. After `UNSENT` it would be safe, but
+    add retries when a full upstream resets connections. For lack of memory to
+    keep an answer meanwhile, that answer is the last.
     """
     executed = outcome.proof is upstream_link.Proof.EXECUTED
     if executed and outcome.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -297,7 +298,9 @@
         not request.route.idempotent
     ):
         return False
-    return _try_take_retry(gateway, request)
+    return _try_take_retry(gateway, request) and reply_memory.keep_answer(
+        gateway.account, request, outcome
+    )
 
 
 def _try_take_retry(
--- a/src/lentilgauge/callers/gateway_request.py
+++ b/src/lentilgauge/callers/gateway_request.py
@@ -22,7 +22,8 @@
     `workspace` is the one that the request's API key belongs to, or `None` if
     the request needs no key, and `key_digest` the digest of that key. `permit`
     is a permit of its quota that is still to be used, and `used_permit` that of
-    the attempt under way.
+    the attempt under way. `kept_bytes` is the memory that is counted for an
+    answer kept during another attempt.
     """
 
     id: str
@@ -45,6 +46,7 @@
     estimated_queue: int = 0
     load_report_age_ms: int | None = None
     may_have_run: bool = False
+    kept_bytes: int = 0
     excluded_upstream_ids: set[str] = dataclasses.field(default_factory=set)
     attempted_addresses: set[str] = dataclasses.field(default_factory=set)
 
--- a/src/lentilgauge/callers/memory_account.py
+++ b/src/lentilgauge/callers/memory_account.py
@@ -76,13 +76,14 @@
 
     `LARGE` is over `ORDINARY_BYTES`, and `SMALL` a head or a body of up to
     `SMALL_BYTES`. `ATTEMPT` is what a request needs before it is sent to an
-    upstream.
+    upstream, and `KEPT_REPLY` an answer that is kept during another attempt.
     """
 
     SMALL = 'small'
     LARGE_UPLOAD = 'large_upload'
     UPLOAD = 'upload'
     ATTEMPT = 'attempt'
+    KEPT_REPLY = 'kept_reply'
     LARGE_REPLY = 'large_reply'
     REPLY = 'reply'
 
@@ -145,6 +146,7 @@
         Claim.UPLOAD: 16,
         Claim.SMALL: 24,
         Claim.ATTEMPT: 48,
+        Claim.KEPT_REPLY: 2,
         Claim.REPLY: sys.maxsize,
     }
 )
@@ -156,6 +158,7 @@
         Claim.SMALL: 0,
         Claim.UPLOAD: ORDINARY_BYTES,
         Claim.ATTEMPT: ORDINARY_BYTES,
+        Claim.KEPT_REPLY: sys.maxsize,
         Claim.REPLY: ORDINARY_BYTES,
         Claim.LARGE_REPLY: ORDINARY_BYTES,
     }
--- a/src/lentilgauge/load/gateway_testbed.py
+++ b/src/lentilgauge/load/gateway_testbed.py
@@ -66,7 +66,7 @@
 
     Settings and logs of the gateways are written to `folder`; `log_level` is
     the level in their log settings. `limits` are the limits of the VMs in the
-    settings files.
+    settings files, and `bounds` replace the bounds there, if there are any.
     """
 
     folder: pathlib.Path
@@ -76,6 +76,7 @@
     gateways: list[GatewayProcess] = dataclasses.field(default_factory=list)
     log_level: str = 'all'
     limits: dict[str, int] = dataclasses.field(default_factory=dict)
+    bounds: dict[str, object] = dataclasses.field(default_factory=dict)
 
 
 def make_gateway_process(
@@ -119,6 +120,8 @@
         gateway.store_address,
         seeds,
     )
+    if testbed.bounds:
+        settings['bounds'] = testbed.bounds
     if testbed.limits:
         settings['limits'] = testbed.limits
     path.write_text(json.dumps(settings), encoding='utf-8')
--- a/src/lentilgauge/platform/upstream_adapter.py
+++ b/src/lentilgauge/platform/upstream_adapter.py
@@ -125,7 +125,7 @@
     attempt: upstream_link.Attempt,
     reply: http_client.Reply,
 ) -> upstream_link.Outcome:
-    """Convert a reply to an outcome, without the content if `UNKNOWN`."""
+    """Convert a reply to an outcome, with the content if it was executed."""
     proof = _find_proof(attempt, reply)
     # Another process than the expected one says nothing of that one.
     leaving = proof is not upstream_link.Proof.MOVED and is_leaving(
@@ -138,11 +138,12 @@
         return upstream_link.Outcome(
             proof=proof, leaving=leaving, retry_after_ms=retry_after_ms
         )
+    is_executed = proof is upstream_link.Proof.EXECUTED
     return upstream_link.Outcome(
         proof=proof,
         status=reply.status,
-        headers=reply.headers,
-        body=reply.body,
+        headers=reply.headers if is_executed else None,
+        body=reply.body if is_executed else b'',
         load=parse_load(reply.headers),
         leaving=leaving,
         retry_after_ms=retry_after_ms,
--- a/tests/crowd_fixtures.py
+++ b/tests/crowd_fixtures.py
@@ -12,7 +12,13 @@
 import tempfile
 import types
 import unittest
-from collections.abc import Callable, Collection, Coroutine, Iterable
+from collections.abc import (
+    Callable,
+    Collection,
+    Coroutine,
+    Iterable,
+    Mapping,
+)
 from typing import ClassVar
 
 from returns import result
@@ -331,6 +337,7 @@
 
     memory_mb: ClassVar[int] = 120
     max_fds: ClassVar[int] = 3000
+    bounds: ClassVar[Mapping[str, object]] = types.MappingProxyType({})
 
     async def asyncSetUp(self) -> None:
         """Start the stand-ins and a gateway, and measure its memory."""
@@ -359,6 +366,7 @@
             'memoryMb': self.memory_mb,
             'maxFds': self.max_fds,
         }
+        self.testbed.bounds = dict(self.bounds)
         self.gateway = gateway_testbed.make_gateway_process(
             0, 'z1', store.address
         )
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+import types
+from collections.abc import Callable, Mapping
 from typing import ClassVar
 
 from lentilgauge.platform import headers
@@ -24,11 +25,25 @@
 _SHORT_LINES = b'a:b\r\n' * _LINES_COUNT
 _LONG_LINES = (b'a: %b\r\n' % (b'x' * _LONG_LINE_BYTES)) * 4
 
+_ERROR_BYTES = 2_000_000
+_IN_TURN_SECONDS = 0.01
+
 #: Makes the bytes that answer a request, from its id and the number of the
 #: attempt.
 MakeReply = Callable[[str, int], bytes]
 
 
+def make_answer(
+    request_id: str, status: int, lines: bytes = b'', body: bytes = b''
+) -> bytes:
+    """Make a complete sealed answer with some lines in its head."""
+    start = b'HTTP/1.1 %d X\r\n%b' % (status, lines)
+    return raw_upstream.encode_reply(
+        raw_upstream.Script(start=start.removesuffix(b'\r\n'), body=body),
+        request_id,
+    )
+
+
 class HeldUpstream(raw_upstream.RawUpstream):
     """Upstream that answers all requests once it may, and closes nothing."""
 
@@ -82,6 +97,10 @@
 
     memory_mb: ClassVar[int] = 160
     max_fds: ClassVar[int] = 3075
+    #: Nearly half of the requests may be sent twice.
+    bounds: ClassVar[Mapping[str, object]] = types.MappingProxyType(
+        {'grace': '3s', 'budgetExtra': 430}
+    )
 
     async def asyncSetUp(self) -> None:
         """Replace the pooled upstream by those that a test starts."""
@@ -123,6 +142,18 @@
         await asyncio.sleep(_SENDING_SECONDS)
         await self.assert_survives()
 
+    async def assert_bounded_in_turn(
+        self, make_reply: MakeReply, path: str
+    ) -> None:
+        """Check what answers take whose requests come one after the other."""
+        self.may_answer.set()
+        await self.start_upstreams(make_reply)
+        await asyncio.sleep(_IN_FLIGHT_SECONDS)
+        for number in range(_CROWD):
+            await self.crowd.send(crowd_fixtures.make_head('GET', path, number))
+            await asyncio.sleep(_IN_TURN_SECONDS)
+        await self.assert_survives()
+
     async def test_heads_of_short_lines(self) -> None:
         """Guard against lines that take far more memory than they have bytes.
 
@@ -148,3 +179,13 @@
     async def test_heads_of_long_lines(self) -> None:
         """Guard against what is held of a line before its end arrives."""
         await self.assert_bounded(lambda *_: _START + _LONG_LINES)
+
+    async def test_errors_kept_during_another_attempt(self) -> None:
+        """Guard against many answers that are kept while requests wait."""
+        body = b'x' * _ERROR_BYTES
+        await self.assert_bounded_in_turn(
+            lambda request_id, attempt: (
+                make_answer(request_id, 500, body=body) if attempt == 1 else b''
+            ),
+            '/large/x',
+        )
--- a/tests/test_reply_memory.py
+++ b/tests/test_reply_memory.py
@@ -1,5 +1,6 @@
 """Test what is done with attempts and answers for which memory is short."""
 
+import dataclasses
 import unittest
 
 from returns import result
@@ -72,6 +73,28 @@
         )
         self.assertEqual(len(upstreams.attempts), 1)
 
+    async def test_an_error_that_cannot_be_kept_is_the_answer(self) -> None:
+        """Guard against errors that fill the memory during other attempts."""
+        error = upstream_link.Outcome(
+            proof=upstream_link.Proof.EXECUTED,
+            status=500,
+            body=b'x' * _BODY_BYTES,
+        )
+        for is_half_full, end in ((True, (500, 1)), (False, (200, 2))):
+            outcomes = [error, dataclasses.replace(error, status=200)]
+            gateway = test_refusals_after_execution.make_gateway(outcomes)
+            gateway.account = memory_account.make_account(_MEMORY_MB)
+            held_bytes = gateway.account.limit_bytes // 2 if is_half_full else 0
+            bytes_by_kind = gateway.account.bytes_by_kind
+            bytes_by_kind[memory_account.Kind.HEADS] = held_bytes
+            request = test_refusals_after_execution.make_idempotent_request(
+                gateway
+            )
+            answer = (await forwarding.forward(gateway, request)).unwrap()
+            with self.subTest(end):
+                self.assertEqual((answer.status, request.attempts), end)
+                self.assertEqual(sum(bytes_by_kind.values()), held_bytes)
+
     async def test_an_attempt_displaces_others_and_not_its_request(
         self,
     ) -> None:
