--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -189,3 +189,10 @@
             ),
             '/large/x',
         )
+
+    async def test_long_heads_that_callers_leave_unread(self) -> None:
+        """Guard against long heads of whole answers that nobody reads."""
+        await self.assert_bounded_in_turn(
+            lambda request_id, _: make_answer(request_id, 200, _LONG_LINES),
+            '/pool/x',
+        )
