List bodies in chunks of one byte, which keep others waiting

Three upstreams that answer 300 callers with bodies in chunks of one byte keep a gateway's event loop so busy that no request of another service is answered with 200 for 15 s.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -27,6 +27,11 @@
 
 _ERROR_BYTES = 2_000_000
 _IN_TURN_SECONDS = 0.01
+#: Upstreams and callers whose bodies have chunks of one byte.
+_CHUNKING_UPSTREAMS_COUNT = 3
+_CHUNKS_CROWD = 300
+_CHUNKS = b'1\r\nx\r\n' * 1_500_000
+_CHUNKS_SECONDS = 15
 
 #: Makes the bytes that answer a request, from its id and the number of the
 #: attempt.
@@ -109,9 +114,11 @@
         self.attempts = raw_upstream.Attempts(script_by_target={})
         self.may_answer = asyncio.Event()
 
-    async def start_upstreams(self, make_reply: MakeReply) -> None:
-        """Start the upstreams."""
-        for number in range(_UPSTREAMS_COUNT):
+    async def start_upstreams(
+        self, make_reply: MakeReply, count: int = _UPSTREAMS_COUNT
+    ) -> None:
+        """Start some upstreams."""
+        for number in range(count):
             upstream = HeldUpstream(self.attempts, make_reply, self.may_answer)
             await upstream.start()
             self.addAsyncCleanup(upstream.close)
@@ -196,3 +203,21 @@
             lambda request_id, _: make_answer(request_id, 200, _LONG_LINES),
             '/pool/x',
         )
+
+    async def test_bodies_in_chunks_of_one_byte(self) -> None:
+        """Guard against bodies that keep a process from answering others."""
+        self.may_answer.set()
+        await self.start_upstreams(
+            lambda *_: _START + _CHUNKED + _CHUNKS, _CHUNKING_UPSTREAMS_COUNT
+        )
+        await asyncio.sleep(_IN_FLIGHT_SECONDS)
+        await self.crowd.send_all(
+            crowd_fixtures.make_head('GET', '/pool/x', number)
+            for number in range(_CHUNKS_CROWD)
+        )
+        statuses: set[int] = set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CHUNKS_SECONDS):
+                while 200 not in statuses:
+                    statuses.add(await self.call('GET', '/read/x'))
+        self.assertIn(200, statuses)
