--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -16,6 +16,8 @@
 _UPSTREAMS_COUNT = 950
 _CROWD = 1000
 _IN_FLIGHT_SECONDS = 1
+#: With fewer requests in flight a test would show nothing.
+_FEWEST_IN_FLIGHT_COUNT = 100
 _SENDING_SECONDS = 4
 #: Fewer than curl accepts in one head.
 _LINES_COUNT = 4900
@@ -145,6 +147,9 @@
             for number in range(_CROWD)
         )
         await self.wait_until_in_flight()
+        self.assertGreater(
+            len(self.attempts.count_by_id), _FEWEST_IN_FLIGHT_COUNT
+        )
         self.may_answer.set()
         await asyncio.sleep(_SENDING_SECONDS)
         await self.assert_survives()
--- a/tests/test_field_names.py
+++ b/tests/test_field_names.py
@@ -165,6 +165,20 @@
                 end = await self.call_until_sent(target, target)
                 self.assertEqual(end, 'status 200 after 1')
 
+    async def test_bytes_behind_a_body_answer_no_other_request(self) -> None:
+        """Guard against an answer that begins with bytes of the one before.
+
+        The connection may be reused: curl drops what it has read behind the
+        last chunk.
+        """
+        target = '/unsafe/behind'
+        self.script_by_target[target] = script_trailer(b'\nX-Foo: 1')
+        end = await self.call_until_sent(target, target)
+        self.assertEqual(end, 'status 200 after 1')
+        for number in range(40):
+            end = await self.call('/unsafe/x', f'next-{number}')
+            self.assertEqual(end, 'status 200 after 1')
+
 
 class ClientFieldNameTest(raw_replies.RawReplyTestCase):
     """The client, and the links of the store, the peers and upstreams."""
