Let the tests of endless answers wait for every request of their crowd

Cause, in the test: it took the requests for settled once a second had passed without another at an upstream. A trace beside 16 busy processes on 8 cores had 61 at upstreams for over 3 s, and 228 later: the gateway had the crowd's 1,000 requests in one turn of its loop, and chose among 950 upstreams for each. Memory refused none too many: 228 to 296 were in flight at last in all four traces.

The tests now wait until each connection of the crowd has an answer, or its request is at an upstream, and compare the requests in flight with the same bound. Those that send in turn check that as many were sent.

--- a/tests/crowd_fixtures.py
+++ b/tests/crowd_fixtures.py
@@ -129,6 +129,16 @@
         await asyncio.sleep(_SLOW_SECONDS)
 
 
+def _is_unanswered(connection: socket.socket) -> bool:
+    try:
+        connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 async def _stop(clients: list[asyncio.Future[None]]) -> None:
     for client in clients:
         client.cancel()
@@ -243,6 +253,10 @@
                 connection.close()
             await asyncio.sleep(_SLOW_SECONDS)
 
+    def count_unanswered(self) -> int:
+        """Count the connections that are open and have received nothing."""
+        return sum(map(_is_unanswered, self.sockets))
+
     def close(self) -> None:
         """Close all connections."""
         for connection in self.sockets:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -15,9 +15,10 @@
 
 _UPSTREAMS_COUNT = 950
 _CROWD = 1000
-_IN_FLIGHT_SECONDS = 1
-#: With fewer requests in flight a test would show nothing.
-_FEWEST_IN_FLIGHT_COUNT = 100
+_POLL_SECONDS = 0.1
+_START_SECONDS = 1
+#: With fewer requests sent to upstreams a test would show nothing.
+_FEWEST_SENT_COUNT = 100
 _SENDING_SECONDS = 4
 #: Fewer than curl accepts in one head.
 _LINES_COUNT = 4900
@@ -129,13 +130,16 @@
                 'servers', f'h{number}', upstream.make_announcement('pooled')
             )
 
-    async def wait_until_in_flight(self) -> None:
-        """Wait until no further request is sent to an upstream."""
-        await conditions.wait_until(lambda: self.attempts.count_by_id)
-        sent_count = 0
-        while sent_count < len(self.attempts.count_by_id):
-            sent_count = len(self.attempts.count_by_id)
-            await asyncio.sleep(_IN_FLIGHT_SECONDS)
+    async def wait_until_in_flight(self) -> int:
+        """Wait until none of the crowd's requests waits for an upstream.
+
+        Returns how many are in flight; the others have been refused.
+        """
+        unanswered_count = _CROWD
+        while unanswered_count > len(self.attempts.count_by_id):
+            await asyncio.sleep(_POLL_SECONDS)
+            unanswered_count = self.crowd.count_unanswered()
+        return unanswered_count
 
     async def assert_bounded(
         self, make_reply: MakeReply, path: str = '/pool/x'
@@ -146,10 +150,8 @@
             crowd_fixtures.make_head('GET', path, number)
             for number in range(_CROWD)
         )
-        await self.wait_until_in_flight()
-        self.assertGreater(
-            len(self.attempts.count_by_id), _FEWEST_IN_FLIGHT_COUNT
-        )
+        in_flight_count = await self.wait_until_in_flight()
+        self.assertGreater(in_flight_count, _FEWEST_SENT_COUNT)
         self.may_answer.set()
         await asyncio.sleep(_SENDING_SECONDS)
         await self.assert_survives()
@@ -160,11 +162,12 @@
         """Check what answers take whose requests come one after the other."""
         self.may_answer.set()
         await self.start_upstreams(make_reply)
-        await asyncio.sleep(_IN_FLIGHT_SECONDS)
+        await asyncio.sleep(_START_SECONDS)
         for number in range(_CROWD):
             await self.crowd.send(crowd_fixtures.make_head('GET', path, number))
             await asyncio.sleep(_IN_TURN_SECONDS)
         await self.assert_survives()
+        self.assertGreater(len(self.attempts.count_by_id), _FEWEST_SENT_COUNT)
 
     async def test_heads_of_short_lines(self) -> None:
         """Guard against lines that take far more memory than they have bytes.
@@ -215,7 +218,7 @@
         await self.start_upstreams(
             lambda *_: _START + _CHUNKED + _CHUNKS, _CHUNKING_UPSTREAMS_COUNT
         )
-        await asyncio.sleep(_IN_FLIGHT_SECONDS)
+        await asyncio.sleep(_START_SECONDS)
         await self.crowd.send_all(
             crowd_fixtures.make_head('GET', '/pool/x', number)
             for number in range(_CHUNKS_CROWD)
