Count the heads of answers until their callers have read them

Cause: an answer that is being written counted the length of its body. Its head, up to 300 KB from an upstream, wasn't counted, so that new requests were sent to upstreams although there was no memory for their answers. At 143 MB resident the account knew of 7 MB of heads of requests and none of replies. Only the watch over resident memory closed connections, every 250 ms and from 95% of the memory on.

An answer now counts what is written of its head and its body. Entries do the same.

--- a/src/lentilgauge/callers/answer_heads.py
+++ b/src/lentilgauge/callers/answer_heads.py
@@ -4,6 +4,9 @@
 
 from tornado import httputil
 
+#: What is written beside the name and the value of a header.
+_SEPARATOR_BYTES = len(': \r\n')
+
 
 def get_reason_phrase(status: int) -> str:
     """Return the name of a status; upstreams may send ones without a name."""
@@ -28,3 +31,11 @@
     if body or 'Content-Length' not in headers:
         headers['Content-Length'] = str(len(body))
     return b''
+
+
+def count_bytes(headers: httputil.HTTPHeaders, body: bytes) -> int:
+    """Return how many bytes an answer takes until its caller has read it."""
+    return len(body) + sum(
+        len(name) + len(text) + _SEPARATOR_BYTES
+        for name, text in headers.get_all()
+    )
--- a/src/lentilgauge/callers/answers.py
+++ b/src/lentilgauge/callers/answers.py
@@ -188,10 +188,11 @@
         _linger(exchange)
         return
     exchange.stage = exchange_module.Stage.WRITING
+    held_bytes = answer_heads.count_bytes(headers, body)
     if len(body) > _PIECE_BYTES:
         header_future = connection.write_headers(start_line, headers)
         exchange.written = asyncio.ensure_future(
-            _write_pieces(exchange, header_future, body)
+            _write_pieces(exchange, header_future, body, held_bytes)
         )
         return
     exchange.written = connection.write_headers(start_line, headers, body)
@@ -199,7 +200,7 @@
     if is_dropped:
         exchange.written.add_done_callback(lambda _: connection.close())
     if not exchange.written.done():
-        holding = _hold_reply(exchange, len(body))
+        holding = _hold_reply(exchange, held_bytes)
         exchange.written.add_done_callback(
             lambda _: memory_account.release(exchange.gateway.account, holding)
         )
@@ -270,10 +271,11 @@
     exchange: exchange_module.Exchange,
     header_future: asyncio.Future[None],
     body: bytes,
+    held_bytes: int,
 ) -> None:
     """Write a large answer as the caller reads it."""
     gateway = exchange.gateway
-    holding = _hold_reply(exchange, len(body))
+    holding = _hold_reply(exchange, held_bytes)
     try:
         await header_future
         await _write_each(exchange, holding, body)
--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -335,7 +335,7 @@
         status,
         answer_heads.get_reason_phrase(status),
     )
-    exchange.answer_bytes = len(body)
+    exchange.answer_bytes = answer_heads.count_bytes(headers, body)
     exchange.written = exchange.connection.write_headers(
         start_line, headers, body
     )
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -28,6 +28,12 @@
 _SHORT_LINES = b'a:b\r\n' * _LINES_COUNT
 _LONG_LINES = (b'a: %b\r\n' % (b'x' * _LONG_LINE_BYTES)) * 4
 
+#: Nearly as long as a head may be.
+_LONGEST_LINES = (b'a: %b\r\n' % (b'x' * _LONG_LINE_BYTES)) * 4 + (
+    b'a: %b\r\n' % (b'x' * 30_000)
+)
+_UNREAD_COUNT = 350
+
 _ERROR_BYTES = 2_000_000
 _IN_TURN_SECONDS = 0.01
 #: Upstreams and callers whose bodies have chunks of one byte.
@@ -212,6 +218,31 @@
             '/pool/x',
         )
 
+    async def test_long_heads_beside_those_left_unread(self) -> None:
+        """Guard against unread heads that leave no memory for others."""
+        self.may_answer.set()
+        await self.start_upstreams(
+            lambda request_id, _: make_answer(request_id, 200, _LONGEST_LINES)
+        )
+        await asyncio.sleep(_START_SECONDS)
+        for number in range(_UNREAD_COUNT):
+            await self.crowd.send(
+                crowd_fixtures.make_head('GET', '/pool/x', number)
+            )
+            await asyncio.sleep(_IN_TURN_SECONDS)
+        await conditions.wait_until(lambda: not self.crowd.count_unanswered())
+        self.assertGreater(len(self.attempts.count_by_id), _FEWEST_SENT_COUNT)
+        self.may_answer.clear()
+        self.attempts.count_by_id.clear()
+        await self.crowd.send_all(
+            crowd_fixtures.make_head('GET', '/pool/x', number)
+            for number in range(_UNREAD_COUNT, _CROWD)
+        )
+        await self.wait_until_in_flight()
+        self.may_answer.set()
+        await asyncio.sleep(_SENDING_SECONDS)
+        await self.assert_survives()
+
     async def test_bodies_in_chunks_of_one_byte(self) -> None:
         """Guard against bodies that keep a process from answering others."""
         self.may_answer.set()
