Keep no more of an unreadable header than is logged

Each unreadable header of an upstream's answer is logged once. For this the last 100 of them were kept whole, up to 300 KB each and counted nowhere: faulty upstreams that send another one with every answer made a process hold 30 MB for good.

Only the 80 characters that are logged are kept now. Headers that are alike up to there are logged once together.

--- a/src/lentilgauge/platform/upstream_adapter.py
+++ b/src/lentilgauge/platform/upstream_adapter.py
@@ -173,14 +173,14 @@
     return math.ceil(seconds * clock.MS_PER_SECOND)
 
 
-@functools.lru_cache(maxsize=_MAX_LOGGED_TEXTS)
 def _log_unreadable(header: str, text: str) -> None:
-    """Log an unreadable header, each text once."""
-    events.log_event(
-        events.Event.HEADER_UNREADABLE,
-        header=header,
-        text=text[:_MAX_LOGGED_LENGTH],
-    )
+    """Log the begin of an unreadable header, each once."""
+    _log_once(header, text[:_MAX_LOGGED_LENGTH])
+
+
+@functools.lru_cache(maxsize=_MAX_LOGGED_TEXTS)
+def _log_once(header: str, text: str) -> None:
+    events.log_event(events.Event.HEADER_UNREADABLE, header=header, text=text)
 
 
 def _find_proof(
