Keep handover data only up to 4,096 characters

An upstream's answer to a release may bring handover data for the next holder. It was kept in whatever length a head may have, 300 KB, counted nowhere, for each range of keys until the range was granted again, and was then sent in the grant.

Longer data is ignored and logged. The keys are then granted without it, which is slow for some time and nothing else. Data of 4,096 characters is still passed on; that of the protocol's example has 16.

test_long_header_values, handover data: 300,000 characters kept before, none after. What a process held in full for many ranges wasn't measured.

--- a/src/lentilgauge/platform/upstream_adapter.py
+++ b/src/lentilgauge/platform/upstream_adapter.py
@@ -38,6 +38,8 @@
 #: Unreadable header texts that are remembered, so that each is logged once.
 _MAX_LOGGED_TEXTS = 100
 _MAX_LOGGED_LENGTH = 80
+#: Handover data is kept, uncounted, until its keys are granted again.
+_MAX_HANDOVER_LENGTH = 4096
 
 
 class OrderMessage(
@@ -173,6 +175,15 @@
     return math.ceil(seconds * clock.MS_PER_SECOND)
 
 
+def _read_handover(reply_headers: httputil.HTTPHeaders) -> str:
+    """Read the handover data of a release; empty if there is too much."""
+    handover: str = reply_headers.get(headers.HANDOVER, '')
+    if len(handover) <= _MAX_HANDOVER_LENGTH:
+        return handover
+    _log_unreadable(headers.HANDOVER, handover)
+    return ''
+
+
 def _log_unreadable(header: str, text: str) -> None:
     """Log the begin of an unreadable header, each once."""
     _log_once(header, text[:_MAX_LOGGED_LENGTH])
@@ -291,7 +302,7 @@
     if reply.status == http.HTTPStatus.OK:
         return upstream_link.KeyReply(
             answer=upstream_link.OrderAnswer.ACCEPTED,
-            handover=reply.headers.get(headers.HANDOVER, ''),
+            handover=_read_handover(reply.headers),
             leaving=leaving,
         )
     if reply.status == http.HTTPStatus.CONFLICT:
