Expect an unread answer to count with its head

It now expects the body and the header lines that the caller received, to the byte, so that it also shows that what is counted is what is written.

--- a/tests/test_refused_bodies.py
+++ b/tests/test_refused_bodies.py
@@ -148,7 +148,10 @@
         head = await self.reader.readuntil(b'\r\n\r\n')
         self.assertIn(b' 200 ', head)
         self.assertEqual(self.gateway.in_flight, 1)
-        self.assertEqual(self.count_replies(), len(self.answer_body))
+        header_lines = head.partition(b'\r\n')[2].removesuffix(b'\r\n')
+        self.assertEqual(
+            self.count_replies(), len(header_lines) + len(self.answer_body)
+        )
         body = await self.reader.readexactly(len(self.answer_body))
         self.assertEqual(body, self.answer_body)
         await conditions.wait_until(lambda: not self.gateway.in_flight)
