--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -168,11 +168,15 @@
 class Deployment:
     """Store, upstreams and gateways, with all that has to be ended."""
 
-    def __init__(self, record: Record) -> None:
+    def __init__(
+        self, record: Record, store: gateway_store.Store | None = None
+    ) -> None:
         self.record = record
-        self.store = gateway_store.Store()
+        self.store = store or gateway_store.Store()
         self.upstreams: list[Upstream] = []
         self.gateways: list[Gateway] = []
+        #: Where a gateway reaches the store, if not at its own address.
+        self.store_address_by_gateway: dict[str, str] = {}
         self._folder = tempfile.TemporaryDirectory()
 
     async def add_upstream(self, upstream: Upstream, service: str) -> None:
@@ -230,7 +234,10 @@
             },
             'grants': 'call',
             'provider': {
-                'address': self.store.address, 'form': 'objects',
+                'address': self.store_address_by_gateway.get(
+                    gateway.name, self.store.address
+                ),
+                'form': 'objects',
                 'writesPerS': 400, 'readsPerS': 2000, 'history': '20s',
                 'valueBytes': 1048576, 'ttlMin': '1000ms',
             },
