Pass over stopping VMs as a granter hands over, and ask another if one fails

What callers saw: during a rolling stop the granter was cut off from the store.

Cause: a stopping VM answers at once that it reaches the store, so it was chosen; it accepted to take over and did nothing. The granter didn't look at the reply, waited 1 s for a term that nobody began and asked nobody else. The same held for a successor that lost the store, froze or ended just then, and for a stopping granter, which took any live VM.

Change: VMs say that they are stopping as they answer whether they reach the store, and refuse to take over then. One that has accepted takes over and hands over in turn. The granter asks another VM after a refusal, no reply within 150 ms or no term within 250 ms. A granter that stops chooses by the same answers and goes on granting while nobody can take over.

--- a/src/lentilgauge/events.py
+++ b/src/lentilgauge/events.py
@@ -44,6 +44,7 @@
     GRANTER_SILENT = 'granter_silent'
     FOLLOWING_THROUGH = 'following_through'
     TAKEOVER_FAILED = 'takeover_failed'
+    SUCCESSOR_FAILED = 'successor_failed'
     STORE_SILENT = 'store_silent'
     TERM_UNCONFIRMED = 'term_unconfirmed'
     TERM_CONFIRMED = 'term_confirmed'
--- a/src/lentilgauge/links/peer_link.py
+++ b/src/lentilgauge/links/peer_link.py
@@ -263,9 +263,20 @@
 
 
 class StoreAccessMessage(msgspec.Struct, frozen=True, kw_only=True):
-    """Whether a VM reaches the store."""
+    """Whether a VM reaches the store.
+
+    A VM that is `stopping` takes over from no granter; one of an earlier
+    version doesn't say so.
+    """
 
     reachable: bool
+    stopping: bool = False
+
+
+class TakeoverReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether a VM takes over as it was asked to, or is the granter itself."""
+
+    accepted: bool = msgspec.field(name='reachable')
 
 
 class TakeoverMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lentilgauge/vms/granter_following.py
+++ b/src/lentilgauge/vms/granter_following.py
@@ -15,6 +15,7 @@
 from lentilgauge.links import http_client, store_link
 from lentilgauge.vms import gateway as gateway_module
 from lentilgauge.vms import (
+    granter_handover,
     granter_selection,
     granter_term,
     long_poll,
@@ -29,8 +30,6 @@
 #: State that the granter last confirmed longer ago than this is stale, and the
 #: VM that it came from is no longer followed.
 MAX_STATE_AGE_MS = 1500
-#: How long a granter that has handed over waits for its successor's term.
-_MAX_SUCCESSION_MS = 1000
 #: How long a VM to which nearly all others are silent leaves granting to them.
 #: It has probably lost them by its own fault, such as a link that is full.
 _MAX_ISOLATED_MS = 3000
@@ -73,33 +72,10 @@
             await granter_term.run_term(granter_state)
             if granter_state.successor is None:
                 gateway.replaced_ms = gateway.now_ms()
-            if await _hear_of_successor(granter_state):
+            if await granter_handover.pass_on_term(granter_state):
                 await _follow_until_unreachable(gateway)
 
 
-async def _hear_of_successor(
-    granter_state: granter_state_module.GranterState,
-) -> bool:
-    """Follow the VM that was asked to take over until its term has begun.
-
-    Return whether it has. The VMs that followed this one learn of the new
-    granter through it. Any other VM that it asked would know no more than this
-    one told it.
-    """
-    gateway = granter_state.gateway
-    successor = granter_state.successor
-    if successor is None:
-        return False
-    ended_term = granter_state.ownership.term
-    deadline_ms = gateway.now_ms() + _MAX_SUCCESSION_MS
-    while gateway.now_ms() < deadline_ms:
-        if await long_poll.follow_once(gateway, successor.address) is not None:
-            return False
-        if gateway.state_cache.ownership.term > ended_term:
-            return True
-    return False
-
-
 def find_granter_address(gateway: gateway_module.Gateway) -> str:
     """Return the granter's address; empty if it is this VM or unknown."""
     granter = gateway.state_cache.ownership.granter
@@ -278,9 +254,10 @@
     """Read the record and take over, unless it names a newer granter.
 
     A VM that was `asked` to takes over even if it can't reach most VMs, but
-    only from the term that has asked or an earlier one.
+    only from the term that has asked or an earlier one. It does so also if it
+    began to stop after it had accepted, and hands over then.
     """
-    if gateway.draining:
+    if gateway.draining and not asked:
         return None
     read_outcome = await gateway.store.read_record()
     if not isinstance(read_outcome, result.Success):
--- a/src/lentilgauge/vms/granter_handover.py
+++ b/src/lentilgauge/vms/granter_handover.py
@@ -2,18 +2,30 @@
 
 import asyncio
 
-from lentilgauge import clock
+from returns import result
+
+from lentilgauge import clock, events
 from lentilgauge.contracts import ownership as ownership_module
 from lentilgauge.links import peer_link
 from lentilgauge.vms import gateway as gateway_module
-from lentilgauge.vms import granter_selection, quota_lending, store_access
+from lentilgauge.vms import (
+    granter_selection,
+    long_poll,
+    quota_lending,
+    store_access,
+)
 from lentilgauge.vms import granter_state as granter_state_module
 
 #: Pause between two checks whether to hand over.
 TICK_MS = 50
-#: How often a granter that can't reach the store looks for a VM that can.
+#: How often a granter that leaves or can't reach the store looks for a VM that
+#: can take over.
 _HANDOVER_RETRY_MS = 600
-_TAKEOVER_REQUEST_TIMEOUT_MS = 600
+#: How long a granter that has handed over waits for its successor's term, which
+#: takes a reading and a write of the record, before it asks another VM.
+MAX_SUCCESSION_MS = 250
+#: How many VMs are asked to take over. Others then search for a granter anyway.
+_MAX_SUCCESSORS = 3
 #: How long a small VM grants at least before it hands over to a large one, so
 #: that the VMs of the record may hear of its term.
 _MIN_SMALL_VM_TERM_MS = 400
@@ -35,8 +47,9 @@
             await asyncio.sleep(clock.to_seconds(_HANDOVER_RETRY_MS))
         elif gateway.draining:
             _hand_over(
-                granter_state, granter_selection.pick_largest_peer(gateway)
+                granter_state, await store_access.find_successor(granter_state)
             )
+            await asyncio.sleep(clock.to_seconds(_HANDOVER_RETRY_MS))
         elif unanswered_check_ms != early_check_ms:
             early_check_ms = unanswered_check_ms
             await _hand_over_to_store_access(granter_state)
@@ -103,17 +116,72 @@
     granter_state_module.stop(granter_state, f'handing over to {successor.vm}')
 
 
-async def request_takeover(
+async def pass_on_term(
+    granter_state: granter_state_module.GranterState,
+) -> bool:
+    """Ask the successor, and then other VMs, until a later term has begun.
+
+    Return whether this VM heard of a later term. A VM that was asked may still
+    take over after another one was: the store accepts one of their records.
+    """
+    asked_vms: set[str] = set()
+    successor = granter_state.successor
+    while successor is not None:
+        asked_vms.add(successor.vm)
+        accepted = await _request_takeover(granter_state, successor)
+        if accepted and await _hear_of_term(granter_state, successor):
+            return True
+        events.log_event(events.Event.SUCCESSOR_FAILED, vm=successor.vm)
+        if len(asked_vms) == _MAX_SUCCESSORS:
+            return False
+        successor = await store_access.find_successor(granter_state, asked_vms)
+    return False
+
+
+async def _hear_of_term(
+    granter_state: granter_state_module.GranterState,
+    successor: peer_link.Peer,
+) -> bool:
+    """Follow the VM that was asked to take over until its term has begun.
+
+    Return whether it has. The VMs that followed this one learn of the new
+    granter through it. Any other VM that it asked would know no more than this
+    one told it.
+    """
+    gateway = granter_state.gateway
+    try:
+        async with asyncio.timeout(clock.to_seconds(MAX_SUCCESSION_MS)):
+            while not _knows_later_term(granter_state):
+                failure = await long_poll.follow_once(
+                    gateway, successor.address
+                )
+                if failure is not None:
+                    return False
+    except TimeoutError:
+        return False
+    return True
+
+
+def _knows_later_term(granter_state: granter_state_module.GranterState) -> bool:
+    """Return whether this VM knows of a later term than the granter's."""
+    known_term = granter_state.gateway.state_cache.ownership.term
+    return known_term > granter_state.ownership.term
+
+
+async def _request_takeover(
     granter_state: granter_state_module.GranterState,
     peer: peer_link.Peer,
-) -> None:
-    """Ask a VM to take over at once, after this granter has stopped."""
-    await peer_link.call_peer(
+) -> bool:
+    """Ask a VM to take over at once, after this granter has stopped.
+
+    Return whether it has accepted.
+    """
+    reply = await peer_link.call_peer(
         granter_state.gateway.client,
         peer_link.PeerCall(
             address=peer.address,
             path=peer_link.TAKEOVER_PATH,
-            timeout_ms=_TAKEOVER_REQUEST_TIMEOUT_MS,
+            timeout_ms=granter_selection.REQUEST_TIMEOUT_MS,
             message=peer_link.TakeoverMessage(
                 term=granter_state.ownership.term,
                 hold_ms=granter_state_module.bound_remaining_grants_ms(
@@ -122,8 +190,12 @@
                 sections_ms=quota_lending.bound_sections_ms(granter_state),
             ),
         ),
-        peer_link.StoreAccessMessage,
+        peer_link.TakeoverReply,
     )
+    if not isinstance(reply, result.Success):
+        return False
+    message: peer_link.TakeoverReply = reply.unwrap()
+    return message.accepted
 
 
 def was_handed_over(
--- a/src/lentilgauge/vms/granter_selection.py
+++ b/src/lentilgauge/vms/granter_selection.py
@@ -16,7 +16,7 @@
 #: A VM with at most this share of the largest VM's cores is small.
 _SMALL_VM_CORE_SHARE = 0.5
 #: A VM answers a request to take over without waiting for anything.
-_REQUEST_TIMEOUT_MS = 150
+REQUEST_TIMEOUT_MS = 150
 #: A VM is followed only if it heard of the granter within this time. Followers
 #: of a running granter hear of it more often, and an older contact may predate
 #: the loss of the granter that this VM has noticed.
@@ -77,19 +77,19 @@
         peer_link.PeerCall(
             address=peer.address,
             path=peer_link.TAKEOVER_PATH,
-            timeout_ms=_REQUEST_TIMEOUT_MS,
+            timeout_ms=REQUEST_TIMEOUT_MS,
             message=peer_link.TakeoverMessage(
                 term=gateway.state_cache.ownership.term,
                 hold_ms=0,
                 granter_lost=True,
             ),
         ),
-        peer_link.StoreAccessMessage,
+        peer_link.TakeoverReply,
     )
     if not isinstance(reply, result.Success):
         return False
-    message: peer_link.StoreAccessMessage = reply.unwrap()
-    return message.reachable
+    message: peer_link.TakeoverReply = reply.unwrap()
+    return message.accepted
 
 
 async def pause_before_takeover(gateway: gateway_module.Gateway) -> None:
--- a/src/lentilgauge/vms/granter_term.py
+++ b/src/lentilgauge/vms/granter_term.py
@@ -344,10 +344,6 @@
         granter_state_module.stop(granter_state, 'the granter loop ended')
         for task in tasks:
             task.cancel()
-    if granter_state.successor is not None:
-        await granter_handover.request_takeover(
-            granter_state, granter_state.successor
-        )
 
 
 def _raise_task_errors(tasks: list[asyncio.Task[None]]) -> None:
--- a/src/lentilgauge/vms/peer_routes.py
+++ b/src/lentilgauge/vms/peer_routes.py
@@ -65,7 +65,11 @@
         reachable = await _can_reach_store(gateway)
         if not reachable:
             gateway.outage_reported_ms = gateway.now_ms()
-        return _respond(peer_link.StoreAccessMessage(reachable=reachable))
+        return _respond(
+            peer_link.StoreAccessMessage(
+                reachable=reachable, stopping=gateway.draining
+            )
+        )
 
     async def request_takeover(
         request: http_server.Request,
@@ -82,9 +86,7 @@
             gateway.takeover_requested.set()
             state_cache_module.notify_change(gateway.state_cache)
         return _respond(
-            peer_link.StoreAccessMessage(
-                reachable=accepted or gateway.is_granter
-            )
+            peer_link.TakeoverReply(accepted=accepted or gateway.is_granter)
         )
 
     async def lend_permits(
@@ -114,10 +116,11 @@
     A granter may, if it was superseded by that term and doesn't know it yet. A
     VM that hears the granter knows better than one that has lost it.
     """
+    if gateway.draining:
+        return False
     known_term = gateway.state_cache.ownership.term
     if message.granter_lost and (
-        gateway.draining
-        or gateway.is_granter
+        gateway.is_granter
         or gateway.now_ms() - gateway.state_cache.granter_heard_ms
         < granter_selection.MAX_VIEW_AGE_MS
     ):
--- a/src/lentilgauge/vms/store_access.py
+++ b/src/lentilgauge/vms/store_access.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncGenerator, Mapping
-
-from returns import result
+from collections.abc import AsyncGenerator, Collection, Mapping
 
 from lentilgauge.contracts import grant_timing
 from lentilgauge.links import peer_link
@@ -17,39 +15,53 @@
 #: as each of them calls the store. A third of the VMs may be without it.
 _MAX_EARLY_QUERIES = 8
 
-#: A VM and whether it reaches the store; `None` without an answer.
-StoreAccess = tuple[peer_link.Peer, bool | None]
+#: A VM and its answer, `None` without one.
+StoreAccess = tuple[peer_link.Peer, peer_link.StoreAccessMessage | None]
 
 
 async def find_successor(
     granter_state: granter_state_module.GranterState,
+    excluded_vms: Collection[str] = (),
 ) -> peer_link.Peer | None:
     """Ask peers whether they reach the store; return one that does.
 
-    It is one of the largest, with the most cores, if any of these does, as
-    granting takes much of a core in a large fleet; the first of these to answer
-    is taken. If this granter and most VMs can't reach the store, that is noted
-    as an outage.
+    A peer that is stopping isn't returned. It is one of the largest, with the
+    most cores, if any of these does, as granting takes much of a core in a
+    large fleet; the first of these to answer is taken. If this granter and most
+    VMs can't reach the store, that is noted as an outage.
     """
     gateway = granter_state.gateway
-    peers = gateway_module.list_live_peers(gateway)
+    peers = [
+        peer
+        for peer in gateway_module.list_live_peers(gateway)
+        if peer.vm not in excluded_vms
+    ]
     if granter_state.term_confirmed:
         peers = _pick_largest(gateway, peers)
     max_cores = max((peer.cores for peer in peers), default=0)
-    reachable_by_vm: dict[str, bool | None] = {}
+    access_by_vm: dict[str, peer_link.StoreAccessMessage | None] = {}
     async with contextlib.aclosing(_query_peers(gateway, peers)) as answers:
-        async for peer, reachable in answers:
-            reachable_by_vm[peer.vm] = reachable
-            if reachable and peer.cores == max_cores:
+        async for peer, access in answers:
+            access_by_vm[peer.vm] = access
+            if _may_succeed(access) and peer.cores == max_cores:
                 return peer
-    _note_outage(granter_state, reachable_by_vm)
+    _note_outage(granter_state, access_by_vm)
     return max(
-        (candidate for candidate in peers if reachable_by_vm[candidate.vm]),
+        (
+            candidate
+            for candidate in peers
+            if _may_succeed(access_by_vm[candidate.vm])
+        ),
         key=lambda candidate: candidate.cores,
         default=None,
     )
 
 
+def _may_succeed(access: peer_link.StoreAccessMessage | None) -> bool:
+    """Return whether a VM with this answer can take over."""
+    return access is not None and access.reachable and not access.stopping
+
+
 async def _query_peers(
     gateway: gateway_module.Gateway, peers: list[peer_link.Peer]
 ) -> AsyncGenerator[StoreAccess, None]:
@@ -77,11 +89,13 @@
 
 def _note_outage(
     granter_state: granter_state_module.GranterState,
-    reachable_by_vm: Mapping[str, bool | None],
+    access_by_vm: Mapping[str, peer_link.StoreAccessMessage | None],
 ) -> None:
     """Note whether the store is unreachable for this granter and most VMs."""
     vms_without_store = {
-        vm for vm, reachable in reachable_by_vm.items() if reachable is False
+        vm
+        for vm, access in access_by_vm.items()
+        if access is not None and not access.reachable
     }
     vms_without_store.add(granter_state.gateway.local_peer.vm)
     in_outage = not granter_state.term_confirmed and all(
@@ -97,7 +111,7 @@
     gateway: gateway_module.Gateway,
     peer: peer_link.Peer,
 ) -> StoreAccess:
-    """Ask a VM whether it can reach the store; `None` without an answer."""
+    """Ask a VM whether it can reach the store and is stopping."""
     reply = await peer_link.call_peer(
         gateway.client,
         peer_link.PeerCall(
@@ -107,7 +121,4 @@
         ),
         peer_link.StoreAccessMessage,
     )
-    if not isinstance(reply, result.Success):
-        return peer, None
-    message: peer_link.StoreAccessMessage = reply.unwrap()
-    return peer, message.reachable
+    return peer, reply.value_or(None)
--- a/tests/test_news_budget.py
+++ b/tests/test_news_budget.py
@@ -70,6 +70,27 @@
         for vm_count, bound_ms in _BOUND_MS_BY_VM_COUNT.items():
             self.assertLess(self.sum_steps_ms(vm_count), bound_ms)
 
+    def test_the_steps_keep_the_bounds_if_a_successor_fails(self) -> None:
+        """Guard against a wait for a successor that takes over too late."""
+        retry_ms = sum(
+            (
+                # The request that has no effect.
+                _CALL_MS,
+                granter_handover.MAX_SUCCESSION_MS,
+                # Another VM asks the store, and answers.
+                2 * _CALL_MS,
+            )
+        )
+        for vm_count, bound_ms in _BOUND_MS_BY_VM_COUNT.items():
+            sum_ms = self.sum_steps_ms(vm_count) + retry_ms
+            self.assertLess(sum_ms, bound_ms)
+
+    def test_a_sound_successor_has_time_to_take_over(self) -> None:
+        """Guard against two VMs that are asked where one would do."""
+        # The successor reads and writes the record and answers a long poll.
+        needed_ms = 3 * _CALL_MS + peer_routes.BATCH_WINDOW_MS
+        self.assertGreater(granter_handover.MAX_SUCCESSION_MS, needed_ms)
+
 
 class NewsBudgetTest(unittest.TestCase):
     """VMs that the store answers hear of each change in time."""
