Notice callers that leave whatever they have sent ahead

Cause: while a request is served, the HTTP library reads a connection only if it holds no bytes of the next request, so nothing watched the socket of a caller that had sent any. It also parsed what was buffered after the end: 350 heads took 0.6 s.

A request is checked once as it is complete. Heads behind the end of a connection aren't parsed. Both interfaces share this.

Why it works: the kernel reports the end of a connection whatever is unread.

--- a/src/lentilgauge/callers/caller_server.py
+++ b/src/lentilgauge/callers/caller_server.py
@@ -18,13 +18,14 @@
 )
 
 from lentilgauge import clock
-from lentilgauge.callers import caller_stream as caller_stream_module
 from lentilgauge.callers import (
+    caller_hangups,
     connection_limits,
     connection_memory,
     loop_turns,
     memory_account,
 )
+from lentilgauge.callers import caller_stream as caller_stream_module
 
 #: Connections that wait to be accepted may send into their kernel buffers.
 _BACKLOG = 512
@@ -118,6 +119,7 @@
     account: memory_account.Account
     now_ms: clock.Clock
     turns: loop_turns.Turns
+    hangups: caller_hangups.HangupWatch
 
     @classmethod
     def make(
@@ -143,6 +145,7 @@
         server.account = account
         server.now_ms = now_ms
         server.turns = loop_turns.Turns()
+        server.hangups = caller_hangups.HangupWatch()
         _join_limits(connections, account, now_ms)
         return server
 
@@ -153,6 +156,7 @@
         caller_stream = caller_stream_module.CallerStream(
             stream.socket,
             turns=self.turns,
+            hangups=self.hangups,
             read_chunk_size=_READ_BYTES,
         )
         if self._may_open(caller_stream):
--- a/src/lentilgauge/callers/caller_stream.py
+++ b/src/lentilgauge/callers/caller_stream.py
@@ -7,7 +7,7 @@
 
 from tornado import iostream
 
-from lentilgauge.callers import loop_turns
+from lentilgauge.callers import caller_hangups, loop_turns
 
 #: A head with more lines or bytes is long.
 _SHORT_HEAD_LINES = 64
@@ -25,7 +25,8 @@
     Such work is a long head, many chunks, or bytes that come one by one, as a
     head is searched for its end at each of them. `frames` counts the chunks
     that have been read on it, and `small_reads` the short reads of the current
-    request. Once these are too many, each waits until `may_read`.
+    request. Once these are too many, each waits until `may_read`. `hangups`
+    watches the connection while a request on it is served.
     """
 
     def __init__(
@@ -33,11 +34,13 @@
         connection: socket.socket,
         *,
         turns: loop_turns.Turns,
+        hangups: caller_hangups.HangupWatch,
         read_chunk_size: int,
     ) -> None:
         """Initialise the stream of an accepted connection."""
         super().__init__(connection, read_chunk_size=read_chunk_size)
         self.turns = turns
+        self.hangups = hangups
         self.frames = 0
         self.small_reads = 0
         self.may_read = False
@@ -51,11 +54,30 @@
         ) = False,
     ) -> None:
         """Close the connection; what waited on it ends at once."""
+        if not self.closed():
+            self.hangups.remove(self)
         super().close(exc_info)  # type: ignore[arg-type]
         for turn in self._requested:
             loop_turns.take_at_once(self.turns, turn)
         self._requested.clear()
 
+    def close_if_left(self) -> None:
+        """Close the connection if its caller has left."""
+        if not self.closed() and caller_hangups.has_hung_up(self):
+            self.close()
+
+    def set_close_callback(self, callback: Callable[[], None] | None) -> None:
+        """Set the callback for the end of the connection.
+
+        The HTTP library has one while a request is served.
+        """
+        if not self.closed():
+            if callback is None:
+                self.hangups.remove(self)
+            else:
+                self.hangups.add(self)
+        super().set_close_callback(callback)
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what has arrived, or nothing until the turn for it has come."""
         if self.small_reads >= _FREE_SMALL_READS and not self.may_read:
@@ -70,7 +92,13 @@
     def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
     ) -> Awaitable[bytes]:
-        """Read a head; a long one is returned when its turn has come."""
+        """Read a head; a long one is returned when its turn has come.
+
+        Raise `StreamClosedError` if the connection is closed: nobody waits for
+        answers to what it has left.
+        """
+        if self.closed():
+            raise iostream.StreamClosedError(real_error=self.error)
         read = asyncio.ensure_future(super().read_until_regex(regex, max_bytes))
         passed: asyncio.Future[bytes] = asyncio.Future()
         if read.done():
@@ -141,6 +169,13 @@
             passed.exception()
 
 
+def close_if_left(stream: iostream.BaseIOStream) -> bool:
+    """Close a connection whose caller has left; return whether it is closed."""
+    if isinstance(stream, CallerStream):
+        stream.close_if_left()
+    return stream.closed()
+
+
 def widen_window(stream: iostream.BaseIOStream) -> None:
     """Let a caller send more before it is read, for a long body."""
     if isinstance(stream, CallerStream):
--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -97,11 +97,9 @@
         From here on the HTTP library reports a closed connection only through
         a close callback.
         """
-        connection_limits.mark_served(
+        if not reception.complete(
             self.gateway.connections, self.connection.stream
-        )
-        if self.connection.stream.closed():
-            # The HTTP library goes on reading what it has buffered.
+        ):
             self.on_connection_close()
             return
         if self.stage is exchange_module.Stage.REFUSED:
--- a/src/lentilgauge/callers/reception.py
+++ b/src/lentilgauge/callers/reception.py
@@ -94,3 +94,15 @@
     has_room = intake is None or body_intake.add_chunk(intake, chunk)
     connection_limits.mark_moved(connections, stream)
     return has_room
+
+
+def complete(
+    connections: connection_limits.Connections,
+    stream: iostream.BaseIOStream,
+) -> bool:
+    """Record that a request arrived completely; return if its caller is there.
+
+    The connection of a caller that has left is closed.
+    """
+    connection_limits.mark_served(connections, stream)
+    return not caller_stream.close_if_left(stream)
--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -113,11 +113,9 @@
 
     def finish(self) -> None:
         """Start serving the request, which has arrived completely."""
-        connection_limits.mark_served(
+        if not reception.complete(
             self.entry.connections, self.connection.stream
-        )
-        if self.connection.stream.closed():
-            # The HTTP library goes on reading what it has buffered.
+        ):
             self.on_connection_close()
         if self.answered:
             return
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -1,6 +1,7 @@
 """Test what an entry writes on a caller's connection, and what follows."""
 
 import asyncio
+import socket
 import unittest
 from unittest import mock
 
@@ -12,10 +13,12 @@
 from lentilgauge.links import upstream_data
 from lentilgauge.services import catalog
 from lentilgauge.vms import entry as entry_module
-from tests import test_dispatch
+from tests import conditions, test_dispatch
 
 _DEAD_PORT = 1
 _FRESH_MS = 1_000_000
+#: A caller that has left is noticed within this time.
+_NOTICE_S = 0.5
 _NEXT = b'GET /k HTTP/1.1\r\nHost: a\r\nX-Next: 1\r\n\r\n'
 
 
@@ -110,6 +113,27 @@
         self.assertIn(b' 503 ', await reader.readuntil(b'\r\n\r\n'))
         self.assertEqual(len(self.served), 1)
 
+    async def test_nothing_runs_for_a_caller_that_has_left(self) -> None:
+        """Guard against requests sent ahead that are served for nobody."""
+        answer_allowed = asyncio.Event()
+
+        async def serve_late(
+            entry: entry_module.Entry, request: request_module.CallerRequest
+        ) -> object:
+            outcome = await self.serve_once(entry, request)
+            await answer_allowed.wait()
+            return outcome
+
+        with mock.patch.object(idempotency, 'serve_once', serve_late):
+            connection = socket.create_connection(('127.0.0.1', self.port))
+            connection.sendall(make_head('GET') + _NEXT)
+            await conditions.wait_until(lambda: self.served)
+            connection.close()
+            await asyncio.sleep(_NOTICE_S)
+            answer_allowed.set()
+            await asyncio.sleep(_NOTICE_S)
+        self.assertEqual(len(self.served), 1)
+
     async def test_an_answer_with_an_unusual_status_is_delivered(self) -> None:
         """Guard against losing an answer whose status has no name."""
         self.status = 299
--- a/tests/test_loop_turns.py
+++ b/tests/test_loop_turns.py
@@ -8,7 +8,7 @@
 
 from tornado import iostream
 
-from lentilgauge.callers import caller_stream, loop_turns
+from lentilgauge.callers import caller_hangups, caller_stream, loop_turns
 
 _STREAMS = 50
 _CHUNK = b'1\r\n'
@@ -48,7 +48,10 @@
         self.addCleanup(theirs.close)
         theirs.sendall(sent)
         stream = caller_stream.CallerStream(
-            ours, turns=self.turns, read_chunk_size=65_536
+            ours,
+            turns=self.turns,
+            hangups=caller_hangups.HangupWatch(),
+            read_chunk_size=65_536,
         )
         self.addCleanup(stream.close)
         return stream
@@ -119,7 +122,10 @@
             self.addCleanup(theirs.close)
             peers.append(theirs)
             stream = CountedStream(
-                ours, turns=self.turns, read_chunk_size=65_536
+                ours,
+                turns=self.turns,
+                hangups=caller_hangups.HangupWatch(),
+                read_chunk_size=65_536,
             )
             stream.test = self
             self.addCleanup(stream.close)
