Refuse requests that were just read as a stopping gateway closes

Cause: a request counted as in flight from the first step of its task, one round of the loop after it was read. A stop that found nothing in flight in that round cancelled the task before that step, and such a task runs no part of its code. The connection then waited for its answer, and closed without it.

Change: a request counts from its reading on, and only tasks that have begun are cancelled. The others begin with the gateway closing, and refuse.

Evidence: test_a_request_read_as_the_process_ends_is_refused and test_a_request_just_read_keeps_the_process failed before and pass.

--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -109,9 +109,10 @@
         if self.intake is not None:
             body_intake.complete(self.intake)
         self.connection.set_close_callback(self.on_connection_close)
+        self.gateway.in_flight += 1
+        head = self.gateway.account.head_by_stream.get(self.connection.stream)
         self.task = asyncio.ensure_future(_serve(self))
-        self.gateway.exchange_tasks.add(self.task)
-        self.task.add_done_callback(self.gateway.exchange_tasks.discard)
+        self.task.add_done_callback(lambda task: _end_serving(self, task, head))
 
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that has disconnected."""
@@ -154,9 +155,10 @@
 
 
 async def _serve(exchange: exchange_module.Exchange) -> None:
-    gateway = exchange.gateway
-    head = gateway.account.head_by_stream.get(exchange.connection.stream)
-    gateway.in_flight += 1
+    if exchange.task is not None:
+        # From here on it can be aborted: a task that is cancelled before its
+        # first step runs no part of its code, and so wouldn't answer.
+        exchange.gateway.exchange_tasks.add(exchange.task)
     try:
         await _serve_request(exchange)
         await answers.wait_until_written(exchange)
@@ -177,11 +179,20 @@
                 detail='internal error of the gateway',
             ),
         )
-    finally:
-        exchange_module.end_intake(exchange)
-        if head is not None:
-            memory_account.release(gateway.account, head)
-        gateway.in_flight -= 1
+
+
+def _end_serving(
+    exchange: exchange_module.Exchange,
+    task: asyncio.Task[None],
+    head: memory_account.Holding | None,
+) -> None:
+    """Free what a request has held, also if its task never began."""
+    gateway = exchange.gateway
+    exchange_module.end_intake(exchange)
+    if head is not None:
+        memory_account.release(gateway.account, head)
+    gateway.exchange_tasks.discard(task)
+    gateway.in_flight -= 1
 
 
 def _describe_abort(exchange: exchange_module.Exchange) -> errors.Failure:
@@ -206,7 +217,8 @@
 def abort_exchanges(gateway: gateway_module.Gateway) -> None:
     """Cancel all requests in flight before the process exits.
 
-    Each of them is answered with an error.
+    Each of them is answered with an error. Those that have just been read
+    refuse themselves while the gateway is closing.
     """
     for task in tuple(gateway.exchange_tasks):
         task.cancel()
--- a/src/lentilgauge/vms/gateway.py
+++ b/src/lentilgauge/vms/gateway.py
@@ -100,7 +100,9 @@
     `account` and `connections` count the memory and connections of callers.
     While `draining`, the process is reported as not ready but still serves
     requests that arrive, unless they could end after `stop_deadline_ms`; once
-    `closing`, it accepts none.
+    `closing`, it accepts none. `in_flight` counts the requests that have
+    arrived completely and aren't answered yet, and `exchange_tasks` serve those
+    of them that have begun.
     """
 
     local_peer: peer_link.Peer
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,6 +4,7 @@
 import dataclasses
 import time
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from lentilgauge.callers import gateway_server
 from lentilgauge.links import http_client, upstream_link
@@ -94,6 +95,41 @@
         self.assertEqual(statuses.count(200), attempt_count)
         self.assertLessEqual(set(statuses), {200, 429, 503})
 
+    async def test_a_request_read_as_the_process_ends_is_refused(self) -> None:
+        """Guard against a connection that ends without an answer.
+
+        A task that is cancelled before its first step runs no part of its code.
+        """
+        finish = gateway_server.ServedExchange.finish
+
+        def finish_and_end(exchange: gateway_server.ServedExchange) -> None:
+            finish(exchange)
+            self.gateway.closing = True
+            gateway_server.abort_exchanges(self.gateway)
+
+        with mock.patch.object(
+            gateway_server.ServedExchange, 'finish', finish_and_end
+        ):
+            reply = await asyncio.wait_for(self.send('/read/1'), 1)
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.scripted_upstreams.attempts, [])
+
+    async def test_a_request_just_read_keeps_the_process(self) -> None:
+        """Guard against a stop that misses a request before its first step."""
+        finish = gateway_server.ServedExchange.finish
+        counts: list[int] = []
+
+        def finish_and_count(exchange: gateway_server.ServedExchange) -> None:
+            finish(exchange)
+            counts.append(self.gateway.in_flight)
+
+        with mock.patch.object(
+            gateway_server.ServedExchange, 'finish', finish_and_count
+        ):
+            await self.send('/read/1')
+        self.assertEqual(counts, [1])
+        self.assertEqual(self.gateway.in_flight, 0)
+
     async def test_a_request_that_still_waits_is_refused(self) -> None:
         """Guard against 504 for a request that no upstream has received."""
         self.scripted_upstreams.answer_allowed = asyncio.Event()
