End connections in one round as a gateway stops, behind their last answers

What callers saw: requests that a stopping gateway read while it closed its connections one after the other got no answer, and a connection with unread bytes was reset, so that the reset could overtake the answer just written.

Cause: requests were read until the turn of their connection to be closed came, and one whose task had not answered yet was cut. A connection was closed in both directions at once, with what was unread on it.

Change: connections that wait for a request end their sending side, all in one round of the loop, and read no more. Each of the others ends with the answer to the request that was read on it. All are closed 100 ms later. The older interface does the same, and counts requests from their reading on.

Why it works: a request that was read holds its connection until it is answered, and none is read on a connection that has ended.

--- a/src/lentilgauge/callers/caller_server.py
+++ b/src/lentilgauge/callers/caller_server.py
@@ -1,5 +1,6 @@
 """HTTP server for callers that limits their connections."""
 
+import asyncio
 import contextlib
 import errno
 import functools
@@ -43,6 +44,8 @@
 _EXHAUSTION_ERRORS = frozenset((errno.EMFILE, errno.ENFILE))
 #: Connections that are closed then; those that wait take some of what is freed.
 _EVICTED_AT_ONCE = 8
+#: How long callers have to read their last answers and the end behind them.
+_LAST_READING_MS = 100
 #: Pause of accepting when there is none to close.
 _PAUSE_S = 0.1
 
@@ -120,6 +123,7 @@
     now_ms: clock.Clock
     turns: loop_turns.Turns
     hangups: caller_hangups.HangupWatch
+    ending: caller_stream_module.Ending
 
     @classmethod
     def make(
@@ -146,6 +150,7 @@
         server.now_ms = now_ms
         server.turns = loop_turns.Turns()
         server.hangups = caller_hangups.HangupWatch()
+        server.ending = caller_stream_module.Ending()
         _join_limits(connections, account, now_ms)
         return server
 
@@ -157,6 +162,7 @@
             stream.socket,
             turns=self.turns,
             hangups=self.hangups,
+            ending=self.ending,
             read_chunk_size=_READ_BYTES,
         )
         if self._may_open(caller_stream):
@@ -172,6 +178,26 @@
             )
         super().on_close(server_conn)
 
+    def end_connections(self) -> None:
+        """End the connections that wait for a request, all in one round.
+
+        Each of the others ends once the request that was read on it is
+        answered.
+        """
+        self.ending.has_begun = True
+        for stream in tuple(self.connections.open_streams):
+            if stream.reading() and isinstance(
+                stream, caller_stream_module.CallerStream
+            ):
+                stream.end_sending()
+
+    async def close_ended_connections(self) -> None:
+        """Close all connections once callers could read their answers."""
+        await asyncio.sleep(clock.to_seconds(_LAST_READING_MS))
+        for stream in self.ending.streams:
+            stream.close()
+        await self.close_all_connections()
+
     def _may_open(self, stream: iostream.IOStream) -> bool:
         if not connection_memory.open_connection(self.account, self.now_ms()):
             connection_limits.want_room(self.connections)
--- a/src/lentilgauge/callers/caller_stream.py
+++ b/src/lentilgauge/callers/caller_stream.py
@@ -1,6 +1,8 @@
 """Connection of a caller, whose long work is done in turns."""
 
 import asyncio
+import contextlib
+import dataclasses
 import functools
 import socket
 from collections.abc import Awaitable, Callable
@@ -19,6 +21,19 @@
 _WIDE_WINDOW_BYTES = 65_536
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Ending:
+    """Whether a server ends its connections, and which it has ended.
+
+    These stay open for a while, so that callers can read their last answers: a
+    close with unread bytes resets a connection, and the reset may overtake what
+    was written.
+    """
+
+    has_begun: bool = False
+    streams: list['CallerStream'] = dataclasses.field(default_factory=list)
+
+
 class CallerStream(iostream.IOStream):
     """Connection whose long work waits for its turns.
 
@@ -26,7 +41,9 @@
     head is searched for its end at each of them. `frames` counts the chunks
     that have been read on it, and `small_reads` the short reads of the current
     request. Once these are too many, each waits until `may_read`. `hangups`
-    watches the connection while a request on it is served.
+    watches the connection while a request on it is served. Once its server's
+    `ending` has begun, its sending side ends with the answer to the request
+    that was read last.
     """
 
     def __init__(
@@ -35,16 +52,19 @@
         *,
         turns: loop_turns.Turns,
         hangups: caller_hangups.HangupWatch,
+        ending: Ending,
         read_chunk_size: int,
     ) -> None:
         """Initialise the stream of an accepted connection."""
         super().__init__(connection, read_chunk_size=read_chunk_size)
         self.turns = turns
         self.hangups = hangups
+        self.ending = ending
         self.frames = 0
         self.small_reads = 0
         self.may_read = False
         self._awaits_read = False
+        self._has_ended = False
         self._requested: list[loop_turns.Turn] = []
 
     def close(
@@ -61,10 +81,17 @@
             loop_turns.take_at_once(self.turns, turn)
         self._requested.clear()
 
-    def close_if_left(self) -> None:
-        """Close the connection if its caller has left."""
-        if not self.closed() and caller_hangups.has_hung_up(self):
-            self.close()
+    def end_sending(self) -> None:
+        """End the sending side, and read no more."""
+        if self.closed() or self._has_ended:
+            return
+        self._has_ended = True
+        self.ending.streams.append(self)
+        # The caller may have closed it, or the loop may not watch it.
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+        with contextlib.suppress(KeyError, ValueError, OSError):
+            self.io_loop.update_handler(self.socket, 0)
 
     def set_close_callback(self, callback: Callable[[], None] | None) -> None:
         """Set the callback for the end of the connection.
@@ -80,6 +107,9 @@
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read what has arrived, or nothing until the turn for it has come."""
+        if self._has_ended:
+            self.close()
+            return None
         if self.small_reads >= _FREE_SMALL_READS and not self.may_read:
             self._request_read()
             return None
@@ -94,10 +124,12 @@
     ) -> Awaitable[bytes]:
         """Read a head; a long one is returned when its turn has come.
 
-        Raise `StreamClosedError` if the connection is closed: nobody waits for
-        answers to what it has left.
+        Raise `StreamClosedError` if the connection is closed or ends here:
+        nobody gets an answer to what is left on it.
         """
-        if self.closed():
+        if self.ending.has_begun:
+            self.end_sending()
+        if self.closed() or self._has_ended:
             raise iostream.StreamClosedError(real_error=self.error)
         read = asyncio.ensure_future(super().read_until_regex(regex, max_bytes))
         passed: asyncio.Future[bytes] = asyncio.Future()
@@ -171,8 +203,12 @@
 
 def close_if_left(stream: iostream.BaseIOStream) -> bool:
     """Close a connection whose caller has left; return whether it is closed."""
-    if isinstance(stream, CallerStream):
-        stream.close_if_left()
+    if (
+        isinstance(stream, CallerStream)
+        and not stream.closed()
+        and caller_hangups.has_hung_up(stream)
+    ):
+        stream.close()
     return stream.closed()
 
 
--- a/src/lentilgauge/callers/gateway_server.py
+++ b/src/lentilgauge/callers/gateway_server.py
@@ -6,7 +6,7 @@
 
 import loguru
 from returns import result
-from tornado import http1connection, httpserver, httputil
+from tornado import http1connection, httputil
 
 from lentilgauge import errors, events
 from lentilgauge.callers import (
@@ -371,7 +371,7 @@
     *,
     address: str,
     port: int,
-) -> httpserver.HTTPServer:
+) -> caller_server.CallerServer:
     """Start the HTTP server for callers."""
     server = caller_server.CallerServer.make(
         ExchangeFactory(gateway=gateway, dialect=dialect),
--- a/src/lentilgauge/callers/server.py
+++ b/src/lentilgauge/callers/server.py
@@ -7,7 +7,7 @@
 
 import loguru
 from returns import result
-from tornado import http1connection, httpserver, httputil
+from tornado import http1connection, httputil
 
 from lentilgauge import clock, errors, metrics
 from lentilgauge.callers import (
@@ -122,6 +122,7 @@
         if self.intake is not None:
             body_intake.complete(self.intake)
         self.connection.set_close_callback(self.on_connection_close)
+        entry_module.begin_request(self.entry)
         self.task = asyncio.ensure_future(_serve(self))
 
     def on_connection_close(self) -> None:
@@ -223,8 +224,6 @@
 
 
 async def _serve(exchange: Exchange) -> None:
-    entry = exchange.entry
-    entry_module.begin_request(entry)
     try:
         await _serve_request(exchange)
         await _wait_until_written(exchange)
@@ -240,7 +239,7 @@
         )
     finally:
         _end_intake(exchange)
-        entry_module.end_request(entry)
+        entry_module.end_request(exchange.entry)
 
 
 async def _serve_request(exchange: Exchange) -> None:
@@ -374,7 +373,7 @@
     entry: entry_module.Entry,
     *,
     address: str,
-) -> httpserver.HTTPServer:
+) -> caller_server.CallerServer:
     """Start the HTTP server for callers."""
     section = entry.section
     server = caller_server.CallerServer.make(
--- a/src/lentilgauge/vms/entry_main.py
+++ b/src/lentilgauge/vms/entry_main.py
@@ -4,12 +4,17 @@
 import sys
 
 from lentilgauge import clock, logs, process_memory, programs, settings
+from lentilgauge.callers import caller_server as caller_server_module
 from lentilgauge.callers import memory_watch, server
 from lentilgauge.links import http_server
 from lentilgauge.operators import http_routes
 from lentilgauge.vms import entry as entry_module
 from lentilgauge.vms import entry_feed, process, reload
 
+#: Requests that were read as the connections ended are answered within this
+#: time.
+_LAST_ANSWERS_MS = 100
+
 
 async def _wait_until_idle(entry: entry_module.Entry, wait_ms: int) -> None:
     try:
@@ -21,6 +26,16 @@
         )
 
 
+async def _end_connections(
+    entry: entry_module.Entry, caller_server: caller_server_module.CallerServer
+) -> None:
+    """Answer what has been read, and end all connections."""
+    await _wait_until_idle(entry, entry.section.stop_grace_ms)
+    caller_server.end_connections()
+    await _wait_until_idle(entry, _LAST_ANSWERS_MS)
+    await caller_server.close_ended_connections()
+
+
 def _apply_settings(
     entry: entry_module.Entry,
     reloaded_settings: settings.EntryFile,
@@ -58,8 +73,7 @@
         section = entry.section
         await asyncio.sleep(clock.to_seconds(section.stop_notice_ms))
         caller_server.stop()
-        await _wait_until_idle(entry, section.stop_grace_ms)
-        await caller_server.close_all_connections()
+        await _end_connections(entry, caller_server)
 
     reload.reload_on_sighup(
         path,
--- a/src/lentilgauge/vms/gateway_process.py
+++ b/src/lentilgauge/vms/gateway_process.py
@@ -4,9 +4,8 @@
 import signal
 from collections.abc import Coroutine
 
-from tornado import httpserver
-
 from lentilgauge import clock, errors, events
+from lentilgauge.callers import caller_server as caller_server_module
 from lentilgauge.callers import gateway_server, memory_watch
 from lentilgauge.links import http_server
 from lentilgauge.vms import admission_queues, gateway_reload
@@ -21,6 +20,8 @@
 #: Requests that could end later than this long before the end of the grace
 #: period are refused; those that are unfinished by then are answered at once.
 _CUT_OFF_BEFORE_END_MS = 400
+#: Connections are closed and the process exits in the last part of it.
+_EXIT_MS = 200
 _IDLE_POLL_MS = 50
 
 
@@ -71,7 +72,7 @@
 async def run_until_stopped(
     gateway: gateway_module.Gateway,
     lead_or_follow: Coroutine[object, object, None],
-    caller_server: httpserver.HTTPServer,
+    caller_server: caller_server_module.CallerServer,
     source: gateway_reload.SettingsSource,
 ) -> None:
     """Run until a stop signal, then finish the requests in flight.
@@ -112,7 +113,7 @@
 
 async def stop_gracefully(
     gateway: gateway_module.Gateway,
-    caller_server: httpserver.HTTPServer,
+    caller_server: caller_server_module.CallerServer,
 ) -> None:
     """Serve until callers have gone elsewhere or the grace period is over.
 
@@ -128,12 +129,31 @@
     await _wait_until_idle(
         gateway, gateway.stop_deadline_ms, started_ms + STOP_NOTICE_MS
     )
+    await _end_connections(gateway, caller_server, end_ms - _EXIT_MS)
+    events.log_event(
+        events.Event.STOPPED,
+        in_flight=gateway.in_flight,
+        ended=len(caller_server.ending.streams),
+    )
+
+
+async def _end_connections(
+    gateway: gateway_module.Gateway,
+    caller_server: caller_server_module.CallerServer,
+    latest_ms: int,
+) -> None:
+    """Answer what has been read, and end all connections.
+
+    Stop waiting for requests that were aborted, or have just been read, at
+    `latest_ms`.
+    """
     gateway.closing = True
     caller_server.stop()
     gateway_server.abort_exchanges(gateway)
+    caller_server.end_connections()
     await asyncio.sleep(clock.to_seconds(_IDLE_POLL_MS))
-    await caller_server.close_all_connections()
-    events.log_event(events.Event.STOPPED, in_flight=gateway.in_flight)
+    await _wait_until_idle(gateway, latest_ms, gateway.now_ms())
+    await caller_server.close_ended_connections()
 
 
 async def _wait_until_idle(
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -113,6 +113,20 @@
         self.assertIn(b' 503 ', await reader.readuntil(b'\r\n\r\n'))
         self.assertEqual(len(self.served), 1)
 
+    async def test_a_request_just_read_keeps_the_process(self) -> None:
+        """Guard against a stop that misses a request before its first step."""
+        finish = server.Exchange.finish
+        counts: list[int] = []
+
+        def finish_and_count(exchange: server.Exchange) -> None:
+            finish(exchange)
+            counts.append(self.entry.in_flight)
+
+        with mock.patch.object(server.Exchange, 'finish', finish_and_count):
+            await self.exchange(make_head('GET', 'Connection: close'))
+        self.assertEqual(counts, [1])
+        self.assertEqual(self.entry.in_flight, 0)
+
     async def test_nothing_runs_for_a_caller_that_has_left(self) -> None:
         """Guard against requests sent ahead that are served for nobody."""
         answer_allowed = asyncio.Event()
--- a/tests/test_loop_turns.py
+++ b/tests/test_loop_turns.py
@@ -51,6 +51,7 @@
             ours,
             turns=self.turns,
             hangups=caller_hangups.HangupWatch(),
+            ending=caller_stream.Ending(),
             read_chunk_size=65_536,
         )
         self.addCleanup(stream.close)
@@ -125,6 +126,7 @@
                 ours,
                 turns=self.turns,
                 hangups=caller_hangups.HangupWatch(),
+                ending=caller_stream.Ending(),
                 read_chunk_size=65_536,
             )
             stream.test = self
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from unittest import mock
@@ -10,11 +11,14 @@
 from lentilgauge.links import http_client, upstream_link
 from lentilgauge.upstreams import upstream_load
 from lentilgauge.vms import gateway_process
-from tests import conditions, test_gateway_server
+from tests import conditions, sending_callers, test_gateway_server
 
 _GRACE_MS = 1500
 _PAUSE_S = 0.05
 _EXECUTION_S = 0.3
+_SENDING_COUNT = 60
+_READ_BYTES = 65_536
+_REQUEST = b'GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: r\r\n\r\n'
 _DEADLINES = ('350', '600', '900')
 #: Requests that the two upstreams of the fixtures take at a time.
 _CAPACITY = 2 * upstream_load.UNKNOWN_LOAD_LIMIT
@@ -61,11 +65,7 @@
 
     async def test_no_request_is_cut_at_the_end_of_the_grace(self) -> None:
         """Guard against answers of our own while an upstream works."""
-        self.gateway.now_ms = lambda: time.monotonic_ns() // 1_000_000
-        self.gateway.state_cache.now_ms = self.gateway.now_ms
-        self.gateway.bounds = dataclasses.replace(
-            self.gateway.bounds, stop_grace_ms=_GRACE_MS
-        )
+        self.use_real_time()
         self.gateway.upstreams = upstream_link.UpstreamLink(
             send_attempt=self.delay(self.scripted_upstreams.answer),
             grant_keys=self.gateway.upstreams.grant_keys,
@@ -114,6 +114,63 @@
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.scripted_upstreams.attempts, [])
 
+    async def test_requests_read_as_connections_close_are_answered(
+        self,
+    ) -> None:
+        """Guard against requests that are read while others' connections end.
+
+        Each caller sends on, also while the gateway closes.
+        """
+        self.use_real_time()
+        read_ids: set[str] = set()
+        finish = gateway_server.ServedExchange.finish
+
+        def finish_and_note(exchange: gateway_server.ServedExchange) -> None:
+            read_ids.add(exchange.headers['X-Id'])
+            finish(exchange)
+
+        callers = [
+            sending_callers.SendingCaller(port=self.port, number=number)
+            for number in range(_SENDING_COUNT)
+        ]
+        with mock.patch.object(
+            gateway_server.ServedExchange, 'finish', finish_and_note
+        ):
+            sending = [
+                asyncio.ensure_future(caller.send_on()) for caller in callers
+            ]
+            await asyncio.sleep(_PAUSE_S)
+            await gateway_process.stop_gracefully(self.gateway, self.server)
+            await asyncio.gather(*sending)
+        unanswered = set().union(*(caller.unanswered for caller in callers))
+        self.assertGreater(len(read_ids), _SENDING_COUNT)
+        self.assertEqual(unanswered & read_ids, set())
+
+    async def test_an_answer_outlasts_what_is_unread_behind_it(self) -> None:
+        """Guard against a reset that overtakes an answer just written.
+
+        Closing a connection with unread bytes resets it.
+        """
+        self.use_real_time()
+        connection = socket.create_connection(('127.0.0.1', self.port))
+        self.addCleanup(connection.close)
+        connection.sendall(_REQUEST)
+        await conditions.wait_until(lambda: self.scripted_upstreams.attempts)
+        await conditions.wait_until(lambda: not self.gateway.in_flight)
+        close_all_connections = self.server.close_all_connections
+
+        async def close_with_unread_bytes() -> None:
+            connection.sendall(_REQUEST)
+            await close_all_connections()
+
+        with mock.patch.object(
+            self.server, 'close_all_connections', close_with_unread_bytes
+        ):
+            await gateway_process.stop_gracefully(self.gateway, self.server)
+        self.assertIn(b' 200 ', connection.recv(_READ_BYTES))
+        # An orderly end, not a reset.
+        self.assertEqual(connection.recv(_READ_BYTES), b'')
+
     async def test_a_request_just_read_keeps_the_process(self) -> None:
         """Guard against a stop that misses a request before its first step."""
         finish = gateway_server.ServedExchange.finish
@@ -151,6 +208,14 @@
         self.assertEqual(statuses.count(504), _CAPACITY)
         self.assertEqual(statuses.count(503), 1)
 
+    def use_real_time(self) -> None:
+        """Let the gateway's clock go on, and its grace period be short."""
+        self.gateway.now_ms = lambda: time.monotonic_ns() // 1_000_000
+        self.gateway.state_cache.now_ms = self.gateway.now_ms
+        self.gateway.bounds = dataclasses.replace(
+            self.gateway.bounds, stop_grace_ms=_GRACE_MS
+        )
+
     def delay(
         self,
         answer: Callable[
