Let tests of crowds wait for the start of their process

A trace of the calls shows 30 refused connections. The fixture now waits until the process accepts connections. What is asked of the process after that is unchanged: 30 tries, as before.

--- a/tests/crowd_fixtures.py
+++ b/tests/crowd_fixtures.py
@@ -52,6 +52,8 @@
 _SAMPLE_SECONDS = 0.02
 _MAX_TURN_POLLS = 50
 _MAX_POLLS = 30
+#: Beside load, the start of a process takes up to 30 s.
+_MAX_START_POLLS = 300
 _POLL_SECONDS = 0.1
 _ROUTES = (
     gateway_documents.RouteSpec(name='read', kind='safe', service='keyed'),
@@ -397,6 +399,7 @@
         self.status_counts: collections.Counter[int] = collections.Counter()
         self.peak_bytes = 0
         self.upstream_ports: set[int] = set()
+        await self.wait_until_started()
         await self.assert_answered('GET', '/read/x')
         self.meter = asyncio.ensure_future(self._measure_memory())
         self.addCleanup(self.meter.cancel)
@@ -429,6 +432,14 @@
         self.status_counts[status] += 1
         return status
 
+    async def wait_until_started(self) -> None:
+        """Wait until the process accepts connections."""
+        for _ in range(_MAX_START_POLLS):
+            if await self.call('GET', '/read/x'):
+                return
+            await asyncio.sleep(_POLL_SECONDS)
+        self.fail('the process accepts no connection')
+
     async def assert_answered(
         self, method: str, path: str, body: bytes | None = None
     ) -> None:
